--- /dev/null
+++ b/crates/benchlink/src/instance.rs
@@ -0,0 +1,415 @@
+//! One instance: the wire's names on one side, a `Choice` with its small indices on the other.
+
+use crate::fields::{millis, span, Fields};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use tulipwall::*;
+
+pub const KNOWN: [&str; 10] = [
+    "Targets",
+    "Accept",
+    "UnderWay",
+    "ReportBack",
+    "Gone",
+    "DeadlineHit",
+    "ProbeDone",
+    "PeerData",
+    "Promotion",
+    "PeriodSums",
+];
+
+/// Names met at the door, numbered in the order they came.
+#[derive(Default)]
+struct Names(HashMap<String, usize>, Vec<String>);
+
+impl Names {
+    fn number(&mut self, name: &str) -> usize {
+        if let Some(n) = self.0.get(name) {
+            return *n;
+        }
+        self.0.insert(name.to_owned(), self.1.len());
+        self.1.push(name.to_owned());
+        self.1.len() - 1
+    }
+}
+
+pub struct Instance {
+    choice: Choice,
+    start: Duration,
+    lanes: Vec<String>,
+    customers: Vec<String>,
+    zones: Vec<String>,
+    kinds: Names,
+    appliances: Names,
+    keys: Names,
+    commands: HashMap<String, u64>,
+    in_hand: BTreeMap<u64, InHand>,
+    taken: u64,
+    wake: Option<Duration>,
+}
+
+/// A command in hand: its wire name, and how many deliveries are still out.
+struct InHand {
+    name: String,
+    out: usize,
+    closed: bool,
+}
+
+impl Instance {
+    /// The inner failure is the wire's own: the settings name something they do not define.
+    pub fn open(now: Duration, start: Duration, item: &Fields) -> Result<Result<Instance, String>, String> {
+        let s = item.inner("settings")?;
+        let zones = names(s.array("zones")?)?;
+        let zone = s.text("zone")?;
+        let Some(zone) = zones.iter().position(|z| z == zone) else {
+            return Ok(Err(format!("unknown zone '{zone}'")));
+        };
+        let classes = s.array("classes")?;
+        let mut lanes = Vec::new();
+        let mut lane_names = Vec::new();
+        for class in classes {
+            let c = Fields::of(class, "classes")?;
+            lane_names.push(c.text("name")?.to_owned());
+            let repeats = match c.text("idempotency")? {
+                "repeatable" => Repeats::Idempotent,
+                "once" => Repeats::Unrepeatable,
+                "by_key" => Repeats::Deduplicated {
+                    group: match c.text("dedup-scope")? {
+                        "all" => Group::All,
+                        "zone" => Group::Zone,
+                        "cell" => Group::Cell,
+                        other => return Err(format!("field dedup-scope: unknown value '{other}'")),
+                    },
+                    window: c.span("window-ms")?,
+                },
+                other => return Err(format!("field idempotency: unknown value '{other}'")),
+            };
+            lanes.push(Lane { quoted: c.span("aim-ms")?, benefit: c.number_or("points", 1.0)?, repeats });
+        }
+        let mut customers = Vec::new();
+        let mut customer_names = Vec::new();
+        for tenant in s.array_or_none("tenants")? {
+            let t = Fields::of(tenant, "tenants")?;
+            customer_names.push(t.text("name")?.to_owned());
+            customers.push(Customer { share: t.number_or("share", 1.0)? });
+        }
+        let (limits, rules, prices) = (s.inner("limits")?, s.inner("rules")?, s.inner("prices")?);
+        let domain = s.inner("domain")?;
+        let mut caps = Vec::new();
+        for cap in domain.array("most-shares")? {
+            caps.push(cap.as_f64().ok_or("field most-shares: numbers are wanted")?);
+        }
+        let come_back = limits.flag("retry-after")?.then_some(limits.span_or("max-retry-after-ms", 0.0)?);
+        let deployment = Deployment {
+            seed: item.integer("salt").map(|n| n as u64).or_else(|_| item.whole("salt"))?,
+            agents: s.whole_or("instances", 1)? as u32,
+            zone,
+            lanes,
+            customers,
+            benefit_by_work: s.maybe("value-by").and_then(Value::as_str) == Some("work"),
+            list_asked: s.text("discovery")? == "ask",
+            ask_within: rules.span_or("must-ask-in-ms", 10_000.0)?,
+            probes: limits.flag("probes")?,
+            second_copies: limits.flag("second-copies")?,
+            come_back,
+            deliveries: limits.whole_or("try-limit", 1)? as usize,
+            crossing_price: prices.number_or("cross-zone", 0.0)?,
+            cold_share: rules.number_or("cold-share", 0.1)?,
+            cold_for: rules.span_or("cold-ms", 10_000.0)?,
+            fall_for: rules.span_or("fall-ms", 2_000.0)?,
+            tick: s.span_or("granularity-ms", 1.0)?,
+            rollout: Rollout {
+                caps,
+                free: domain.number_or("spare-tries", 0.0)?,
+                by_lane: domain.text("cap-scope")? == "class",
+                guarded_stages: domain.whole_or("closed-stages", 0)? as usize,
+                one_way: domain.flag("no-return")?,
+                by_clock: domain.text("decided-by")? == "timer",
+                in_place: domain.text("swap")? == "in_place",
+                vote_life: domain.span("vote-ttl-ms")?,
+                vote_wait: domain.span("vote-wait-ms")?,
+                votes_per_s: domain.number_or("api-rate", 1.0)?,
+                flagged_share: domain.number_or("reported-share", 1.0)?,
+            },
+        };
+        Ok(Ok(Instance {
+            choice: Choice::new(now.saturating_sub(start), deployment),
+            start,
+            lanes: lane_names,
+            customers: customer_names,
+            zones,
+            kinds: Names::default(),
+            appliances: Names::default(),
+            keys: Names::default(),
+            commands: HashMap::new(),
+            in_hand: BTreeMap::new(),
+            taken: 0,
+            wake: None,
+        }))
+    }
+
+    pub fn tell(
+        &mut self,
+        clock: Duration,
+        kind: &str,
+        item: &Fields,
+        sheets: &crate::Sheets,
+        said: &mut Vec<Value>,
+    ) -> Result<(), String> {
+        let now = clock.saturating_sub(self.start);
+        match kind {
+            "Targets" => self.targets(now, item, sheets, said)?,
+            "Accept" => {
+                let (name, class) = (item.text("txn")?, item.text("tier-class")?);
+                let Some(lane) = self.lanes.iter().position(|l| l == class) else {
+                    said.push(json!({"t": "Fatal", "note-text": format!("unknown lane '{class}'")}));
+                    return Ok(());
+                };
+                let owner = item.maybe("owner").and_then(Value::as_str);
+                let customer = owner.and_then(|o| self.customers.iter().position(|c| c == o));
+                let key = item.maybe("route-key").and_then(Value::as_str).map(|k| self.keys.number(k) as u64);
+                let left = item.span("patience-left-ms")?;
+                let id = self.taken;
+                self.taken += 1;
+                self.commands.insert(name.to_owned(), id);
+                self.in_hand.insert(id, InHand { name: name.to_owned(), out: 0, closed: false });
+                self.choice.take(now, id, Command { lane, customer, key, left });
+                let answer = self.choice.place(now, id);
+                self.write(id, answer, said);
+            }
+            "UnderWay" => {
+                let (name, _) = (item.text("txn")?, item.whole("n")?);
+                if let Some(id) = self.commands.get(name) {
+                    self.choice.begun(*id);
+                }
+            }
+            "ReportBack" => {
+                let (name, n) = (item.text("txn")?, item.whole("n")? as usize);
+                let outcome = match outcome(item.text("state-code")?) {
+                    Some(outcome) => outcome,
+                    None => return Err("field state-code: unknown outcome".into()),
+                };
+                let (took, finished) = (item.span("lag-ms")?, item.flag("finished")?);
+                let Some(id) = self.commands.get(name).copied() else { return Ok(()) };
+                let answer = self.choice.after(now, id, n, outcome, took, finished);
+                if let Some(c) = self.in_hand.get_mut(&id) {
+                    c.out = c.out.saturating_sub(1);
+                    c.closed |= finished;
+                }
+                self.write(id, answer, said);
+            }
+            "Gone" => {
+                if let Some(id) = self.commands.get(item.text("txn")?).copied() {
+                    self.choice.left(id);
+                    self.done(id);
+                }
+            }
+            "DeadlineHit" => {
+                let ctx = item.text("ctx")?;
+                if ctx == "wait" {
+                    self.wake = None;
+                } else if let Ok(id) = ctx.parse::<u64>() {
+                    if self.in_hand.get(&id).is_some_and(|c| !c.closed) {
+                        let answer = self.choice.place(now, id);
+                        self.write(id, answer, said);
+                    }
+                }
+            }
+            "ProbeDone" => {
+                let well = item.text("state-code")? == "success";
+                let appliance = self.appliances.number(item.text("appliance")?);
+                self.choice.probed(now, appliance, well);
+            }
+            "Promotion" => self.promotion(now, item)?,
+            "PeriodSums" => {
+                let class = item.text("tier-class")?;
+                if let Some(lane) = self.lanes.iter().position(|l| l == class) {
+                    let (deliveries, failed) = (item.number("attempts")?, item.number_or("errors", 0.0)?);
+                    self.choice.tally(Tally { build: item.whole("rel")? as u32, lane, deliveries, failed });
+                }
+            }
+            "Flagged" => {
+                let class = item.text("tier-class")?;
+                let appliance = self.appliances.number(item.text("appliance")?);
+                if let Some(lane) = self.lanes.iter().position(|l| l == class) {
+                    self.choice.flag(appliance, lane, item.span_or("lateness-ms", 0.0)?, now);
+                }
+            }
+            "PeerData" => {}
+            other => return Err(format!("field t: unknown message '{other}'")),
+        }
+        Ok(())
+    }
+
+    /// After an instance's events: whatever the choice has due, and the timer for the next look.
+    pub fn settle(&mut self, clock: Duration, said: &mut Vec<Value>) {
+        let now = clock.saturating_sub(self.start);
+        let due = self.choice.wait(now);
+        if due.watch {
+            said.push(json!({"t": "Listen", "want": true}));
+        }
+        if let Some(v) = due.vote {
+            let code = match v.verdict {
+                Verdict::Hold => 2,
+                Verdict::Back => 3,
+                Verdict::None => 0,
+            };
+            said.push(json!({"t": "Verdict", "rel": v.build, "wave": v.stage, "code": code}));
+        }
+        for i in due.probes {
+            said.push(json!({"t": "AskLoad", "appliance": self.appliances.1[i]}));
+        }
+        for note in due.notes {
+            said.push(json!({"t": "Debug", "note-text": note}));
+        }
+        if self.wake.is_none_or(|w| due.until < w) {
+            self.wake = Some(due.until);
+            self.timer("wait".into(), due.until, said);
+        }
+    }
+
+    fn timer(&self, ctx: String, at: Duration, said: &mut Vec<Value>) {
+        said.push(json!({"t": "Remind", "ctx": ctx, "instant-ms": millis(self.start + at)}));
+    }
+
+    fn write(&mut self, id: u64, answer: Answer, said: &mut Vec<Value>) {
+        let Some(c) = self.in_hand.get_mut(&id) else { return };
+        let name = c.name.clone();
+        match answer {
+            Answer::Send { appliance, time_out, look } => {
+                c.out += 1;
+                let appliance = &self.appliances.1[appliance];
+                let ms = millis(time_out).max(0.001);
+                said.push(json!({"t": "Place", "txn": name, "appliance": appliance, "give-up-after-ms": ms}));
+                if let Some(at) = look {
+                    self.timer(id.to_string(), at, said);
+                }
+            }
+            Answer::NotYet { until } => self.timer(id.to_string(), until, said),
+            Answer::Deny { come_back } => {
+                c.closed = true;
+                let ms = come_back.map(millis);
+                said.push(json!({"t": "Deny", "txn": name, "cool-down-ms": ms}));
+            }
+            Answer::Scrap => {
+                c.closed = true;
+                said.push(json!({"t": "RespondError", "txn": name}));
+            }
+            Answer::Withdraw { delivery } => {
+                said.push(json!({"t": "DropAttempt", "txn": name, "n": delivery}))
+            }
+            Answer::Wait => {}
+        }
+        if self.in_hand.get(&id).is_some_and(|c| c.closed && c.out == 0) {
+            self.done(id);
+        }
+    }
+
+    fn done(&mut self, id: u64) {
+        let Some(c) = self.in_hand.get_mut(&id) else { return };
+        c.closed = true;
+        if c.out == 0 {
+            self.commands.remove(&c.name);
+            self.in_hand.remove(&id);
+        }
+    }
+
+    fn targets(
+        &mut self,
+        now: Duration,
+        item: &Fields,
+        sheets: &crate::Sheets,
+        said: &mut Vec<Value>,
+    ) -> Result<(), String> {
+        let complete = match item.text("how")? {
+            "FAILED" => {
+                self.choice.list_failed(now);
+                return Ok(());
+            }
+            "INCREMENTAL" => false,
+            "FULL" | "SAVED" => true,
+            other => return Err(format!("field how: unknown value '{other}'")),
+        };
+        let sheet = sheets.get(&item.whole("buffer")?).ok_or("field buffer: no such list")?;
+        let mut entries = Vec::new();
+        for entry in sheet {
+            let e = Fields::of(entry, "nodes-list")?;
+            let zone = e.text("failure-domain")?;
+            let Some(zone) = self.zones.iter().position(|z| z == zone) else {
+                said.push(json!({"t": "Fatal", "note-text": format!("unknown zone '{zone}'")}));
+                return Ok(());
+            };
+            let standing = match e.text("availability")? {
+                "Running" => Standing::Running,
+                "Stopping" => Standing::Draining,
+                "Deleted" => Standing::Gone,
+                other => return Err(format!("field availability: unknown value '{other}'")),
+            };
+            let born = span(e.number_or("born-ms", 0.0)?);
+            entries.push(Listed {
+                appliance: self.appliances.number(e.text("appliance")?),
+                zone,
+                cell: e.whole_or("stripe", 0)?,
+                kind: self.kinds.number(e.maybe("hw").and_then(Value::as_str).unwrap_or("")),
+                build: e.whole_or("release", 0)? as u32,
+                standing,
+                started: (born > self.start).then(|| born.saturating_sub(self.start)),
+            });
+        }
+        self.choice.list(now, &entries, complete);
+        Ok(())
+    }
+
+    fn promotion(&mut self, now: Duration, item: &Fields) -> Result<(), String> {
+        let state = item.text("state-code")?;
+        if state == "success" {
+            let phase = match item.whole_or("course", 0)? {
+                0 => Phase::Trial,
+                1 => Phase::GoingBack,
+                2 => Phase::Released,
+                3 => Phase::Withdrawn,
+                other => return Err(format!("field course: unknown value {other}")),
+            };
+            self.choice.news(
+                now,
+                News {
+                    build: item.whole("rel")? as u32,
+                    stage: item.whole_or("wave", 0)? as usize,
+                    phase,
+                    cap: item.number_or("ceiling", 0.0)?,
+                },
+            );
+        }
+        if item.whole_or("code", 0)? == 1 {
+            let reply = match state {
+                "success" => Reply::Counted,
+                "void" => Reply::Moot,
+                "timed_out" => Reply::Unknown,
+                _ => Reply::Refused,
+            };
+            self.choice.reply(now, reply);
+        }
+        Ok(())
+    }
+}
+
+fn names(list: &[Value]) -> Result<Vec<String>, String> {
+    let text =
+        |v: &Value| v.as_str().map(str::to_owned).ok_or_else(|| "field zones: names are wanted".to_owned());
+    list.iter().map(text).collect()
+}
+
+fn outcome(code: &str) -> Option<Outcome> {
+    Some(match code {
+        "success" => Outcome::Satisfied,
+        "failure" => Outcome::Failed,
+        "overloaded" => Outcome::TurnedAway,
+        "timed_out" => Outcome::TimedOut,
+        "unreachable" => Outcome::NoConnection,
+        "broken" => Outcome::Broken,
+        "withdrawn" => Outcome::Withdrawn,
+        "void" => Outcome::NotSent,
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,192 @@
+//! What goes into a [`Choice`](crate::Choice) and what comes back: plain data, no decisions.
+//! Times are spans since the start; appliances, lanes, customers, zones and kinds are small indices.
+
+use std::time::Duration;
+
+/// What an agent reads once, at its start.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub seed: u64,
+    pub agents: u32,
+    pub zone: usize,
+    pub lanes: Vec<Lane>,
+    pub customers: Vec<Customer>,
+    pub benefit_by_work: bool,
+    pub list_asked: bool,
+    pub ask_within: Duration,
+    pub probes: bool,
+    pub second_copies: bool,
+    pub come_back: Option<Duration>,
+    pub deliveries: usize,
+    pub crossing_price: f64,
+    pub cold_share: f64,
+    pub cold_for: Duration,
+    pub fall_for: Duration,
+    pub tick: Duration,
+    pub rollout: Rollout,
+}
+
+/// How builds are offered here.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    pub caps: Vec<f64>,
+    pub free: f64,
+    pub by_lane: bool,
+    pub guarded_stages: usize,
+    pub one_way: bool,
+    pub by_clock: bool,
+    pub in_place: bool,
+    pub vote_life: Duration,
+    pub vote_wait: Duration,
+    pub votes_per_s: f64,
+    pub flagged_share: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Lane {
+    pub quoted: Duration,
+    pub benefit: f64,
+    pub repeats: Repeats,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Idempotent,
+    Deduplicated { group: Group, window: Duration },
+    Unrepeatable,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Customer {
+    pub share: f64,
+}
+
+/// A command as it arrives; `key` is a number that equal keys share.
+#[derive(Clone, Debug)]
+pub struct Command {
+    pub lane: usize,
+    pub customer: Option<usize>,
+    pub key: Option<u64>,
+    pub left: Duration,
+}
+
+/// One line of the list of appliances.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub appliance: usize,
+    pub zone: usize,
+    pub cell: u64,
+    pub kind: usize,
+    pub build: u32,
+    pub standing: Standing,
+    pub started: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Running,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Trial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+/// What the platform says of the newest build.
+#[derive(Clone, Debug)]
+pub struct News {
+    pub build: u32,
+    pub stage: usize,
+    pub phase: Phase,
+    pub cap: f64,
+}
+
+/// What became of the vote that is out, as far as the platform says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    Counted,
+    Moot,
+    Refused,
+    Unknown,
+}
+
+/// What the platform counted of one build in one lane over its last period.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    pub build: u32,
+    pub lane: usize,
+    pub deliveries: f64,
+    pub failed: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Satisfied,
+    Failed,
+    TurnedAway,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Withdrawn,
+    NotSent,
+}
+
+impl Outcome {
+    /// The delivery provably never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
+/// What to do with a command now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Deliver it; ask again at `look` if it is still open then.
+    Send { appliance: usize, time_out: Duration, look: Option<Duration> },
+    /// Keep it and ask again at this time.
+    NotYet { until: Duration },
+    /// A final denial, with a time to come back where that may be named.
+    Deny { come_back: Option<Duration> },
+    /// A final answer that promises nothing.
+    Scrap,
+    /// Stop waiting for this delivery; the command is answered.
+    Withdraw { delivery: usize },
+    /// Nothing: an answer is still due, or none is owed.
+    Wait,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Hold,
+    Back,
+    None,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Vote {
+    pub build: u32,
+    pub stage: usize,
+    pub verdict: Verdict,
+}
+
+/// What is due now, and when to ask again.
+#[derive(Clone, Debug, Default)]
+pub struct Due {
+    pub until: Duration,
+    pub vote: Option<Vote>,
+    pub probes: Vec<usize>,
+    pub watch: bool,
+    pub notes: Vec<String>,
+}
