Tell silence from heavy work, and a slow build from a slow machine

Change: a delivery is withdrawn only when its appliance has said nothing since; slow counts only when every appliance of the build is slow; flags need three.

--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -112,6 +112,7 @@
             ask_within: rules.span_or("must-ask-in-ms", 10_000.0)?,
             probes: limits.flag("probes")?,
             second_copies: limits.flag("second-copies")?,
+            withdraw: limits.flag("cancel")?,
             come_back,
             deliveries: limits.whole_or("try-limit", 1)? as usize,
             crossing_price: prices.number_or("cross-zone", 0.0)?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,8 +20,8 @@
 const LEAST_OUTCOMES: f64 = 10.0;
 const FAILED_SHARE: f64 = 0.04;
 const LOST_SHARE: f64 = 0.2; // answers that never came say less of a build than answers that failed
-const SLOW_SHARE: f64 = 0.22;
-const SLOW_AT: f64 = 2.2; // times the usual of its kind
+const SLOW_AT: f64 = 1.6; // times the usual of its kind, on every appliance of the build, two at least
+const SLOW_TIMES: f64 = 12.0; // answers of each appliance
 const SETTLED: Duration = Duration::from_secs(6);
 const HALF_LIFE: f64 = 10.0; // seconds after which evidence weighs half
 const KEEP: f64 = 20.0; // a baseline is not forgotten below this many outcomes
@@ -37,25 +37,24 @@
 const RETRY_EACH: f64 = 0.2; // further deliveries earned by each command
 const RETRY_MOST: f64 = 20.0;
 
+/// Evidence in one lane. Flagged answers are failures too; each stands for those that nobody reported.
 #[derive(Clone, Debug, Default)]
 struct Count {
     satisfied: f64,
     failed: f64,
+    flagged: f64,
     lost: f64,
-    slow: f64,
-    timed: f64,
 }
 
 impl Count {
     fn add(&mut self, o: &Count) {
         self.satisfied += o.satisfied;
         self.failed += o.failed;
+        self.flagged += o.flagged;
         self.lost += o.lost;
-        self.slow += o.slow;
-        self.timed += o.timed;
     }
     fn fade(&mut self, by: f64) {
-        for v in [&mut self.satisfied, &mut self.failed, &mut self.lost, &mut self.slow, &mut self.timed] {
+        for v in [&mut self.satisfied, &mut self.failed, &mut self.flagged, &mut self.lost] {
             *v *= by;
         }
     }
@@ -113,6 +112,8 @@
     high: High,
     weight: f64,
     counts: Vec<Count>,
+    timed: f64, // answers since warm, fading, and the sum of their times against the usual
+    pace: f64,
     sends: VecDeque<Duration>, // while cold, within the fall window
 }
 
@@ -293,6 +294,8 @@
                 high: High(2.0),
                 weight: 1.0,
                 counts: vec![Count::default(); self.lanes.len()],
+                timed: 0.0,
+                pace: 0.0,
                 sends: VecDeque::new(),
             });
             let started = e.started.unwrap_or_default();
@@ -358,11 +361,9 @@
 
     /// A client found an answer of this appliance wrong: a satisfied outcome was a failed one.
     pub fn flag(&mut self, appliance: usize, lane: usize, age: Duration, now: Duration) {
-        let worth = 1.0 / self.d.rollout.flagged_share.clamp(0.1, 1.0);
         if let Some(Some(a)) = self.fleet.get_mut(appliance) {
             if a.started.unwrap_or_default() + age <= now && lane < a.counts.len() {
-                a.counts[lane].failed += worth;
-                a.counts[lane].satisfied = (a.counts[lane].satisfied - worth).max(0.0);
+                a.counts[lane].flagged += 1.0;
             }
         }
     }
@@ -389,17 +390,25 @@
         let first = c.deliveries.is_empty();
         let again = matches!(self.lanes[lane].repeats, Repeats::Idempotent | Repeats::Deduplicated { .. });
 
-        // A second copy, where allowed, while there is time for it to help.
+        // A delivery that is out: when its appliance has gone silent, or is very late, try another one.
         if out > 0 {
-            let worth = self.d.second_copies
-                && out == 1
-                && again
-                && self.spare >= 1.0
-                && c.deliveries.len() < self.d.deliveries
-                && left.as_secs_f64() > self.lanes[lane].usual;
-            if !worth {
+            if !again || out > 1 || self.spare < 1.0 || c.deliveries.len() >= self.d.deliveries {
                 return Answer::Wait;
             }
+            let patience = self.patience();
+            let Some(delivery) = c.deliveries.iter().rposition(|d| d.out) else { return Answer::Wait };
+            let sent = c.deliveries[delivery].sent;
+            let silent =
+                now >= sent + patience && self.silent(c.deliveries[delivery].appliance, now, patience);
+            if !silent && (!self.d.second_copies || now < sent + patience * 2) {
+                return Answer::NotYet { until: now + patience / 4 };
+            }
+            if left.as_secs_f64() < self.lanes[lane].usual {
+                return Answer::Wait;
+            }
+            if !self.d.second_copies {
+                return Answer::Withdraw { delivery };
+            }
         } else if left <= self.d.tick * 2 || c.deliveries.len() >= self.d.deliveries {
             return self.give_up(id);
         }
@@ -554,17 +563,25 @@
             // Until it has settled, a hold once placed is kept on half of what placed it.
             let ease = if was && now < newest + SETTLED { 0.5 } else { 1.0 };
             for (lane, (t, b)) in trial.iter().zip(&base).enumerate() {
-                let Some(why) = regressed(t, b, ease) else { continue };
-                worst = worst.max(t.failed + t.lost + t.slow);
+                let share = self.d.rollout.flagged_share.clamp(0.1, 1.0);
+                let Some(why) = regressed(t, b, share, ease) else { continue };
+                worst = worst.max(t.failed + t.flagged + t.lost);
                 seen = true;
                 if !was {
                     self.notes.push(format!(
-                        "hold: build {} lane {lane} {why} {:.0}/{:.0}/{:.0} of {:.0}, earlier {:.0}/{:.0}/{:.0} of {:.0}",
-                        n.build, t.failed, t.lost, t.slow, t.all(), b.failed, b.lost, b.slow, b.all()
+                        "regressed: build {} lane {lane} {why}: failed {:.0} flagged {:.0} lost {:.0} of {:.0}, earlier {:.0} {:.0} {:.0} of {:.0}",
+                        n.build, t.failed, t.flagged, t.lost, t.all(), b.failed, b.flagged, b.lost, b.all()
                     ));
                 }
             }
         }
+        if !seen && self.slow(n.build, if was { 0.8 } else { 1.0 }) {
+            seen = true;
+            worst = BACK_FAILURES;
+            if !was {
+                self.notes.push(format!("regressed: build {} slow on every appliance", n.build));
+            }
+        }
         if was && !seen {
             self.notes.push(format!("lift: build {} shows no regression", n.build));
         }
@@ -585,6 +602,13 @@
         self.want = verdict.map(|verdict| Vote { build: n.build, stage: n.stage, verdict });
     }
 
+    /// Guards against a build that needs more work but fails nothing. Every appliance of it must be slow,
+    /// two at least, so that one slowed machine is not taken for a slow build.
+    fn slow(&self, build: u32, ease: f64) -> bool {
+        let of_build = || self.running().filter(|(_, a)| a.build == build && a.timed >= SLOW_TIMES);
+        of_build().count() > 1 && of_build().all(|(_, a)| a.pace > SLOW_AT * ease * a.timed)
+    }
+
     /// Counts of a build by lane. Appliances that are set aside are left out of an earlier build, and of
     /// the newest one where it has healthy ones: a sick machine says nothing of its build.
     fn totals(&self, build: u32) -> Vec<Count> {
@@ -595,7 +619,7 @@
         let newest = self.news.as_ref().is_some_and(|n| n.build == build);
         let healthy = self.running().filter(|(_, a)| a.build == build && a.aside.is_none()).count();
         for (_, a) in self.running().filter(|(_, a)| a.build == build) {
-            if a.aside.is_none() || newest && healthy < 2 {
+            if a.aside.is_none() || newest && healthy == 0 {
                 sum.iter_mut().zip(&a.counts).for_each(|(s, c)| s.add(c));
             }
         }
@@ -689,7 +713,7 @@
                 draw *= self.abroad;
             }
             let tried = c.deliveries.iter().any(|d| d.appliance == i);
-            let silent = a.unheard.is_some_and(|t| now > t + patience);
+            let silent = self.silent(i, now, patience);
             let unproven = trial && !idempotent && !view.is_some_and(|b| b.proven);
             let rank = if a.aside.is_some_and(|t| now < t) || silent || a.strikes > 1 && !idempotent {
                 2
@@ -731,6 +755,11 @@
         Duration::from_secs_f64((usual * 5.0).clamp(0.1, 3.0))
     }
 
+    fn silent(&self, i: usize, now: Duration, patience: Duration) -> bool {
+        let a = self.fleet.get(i).and_then(Option::as_ref);
+        a.is_none_or(|a| a.unheard.is_some_and(|t| now >= t + patience))
+    }
+
     fn send(&mut self, now: Duration, id: u64, i: usize) -> Answer {
         let idle = Answer::Wait;
         let patience = self.patience();
@@ -740,11 +769,9 @@
         let lane = &self.lanes[c.lane];
         let left = c.expires.saturating_sub(now);
         let again = c.deliveries.len() + 1 < self.d.deliveries && lane.repeats != Repeats::Unrepeatable;
-        let soon = Duration::from_secs_f64((lane.usual * 4.0).max(lane.quoted * 0.6));
-        let time_out =
-            if again && soon < left && self.stretch.0 < LATE && self.spare >= 1.0 { soon } else { left };
-        let look = (self.d.second_copies && again && c.deliveries.is_empty())
-            .then(|| now + patience.min(Duration::from_secs_f64(lane.usual * 3.0)));
+        let soon = Duration::from_secs_f64((lane.usual * 6.0).max(lane.quoted * 0.8));
+        let time_out = if again && !self.d.withdraw { soon.min(left) } else { left };
+        let look = (again && self.d.withdraw).then_some(now + patience);
         let d = Delivery {
             appliance: i,
             build: a.build,
@@ -788,6 +815,7 @@
             return;
         }
         let x = took / l.usual;
+        let mute = a.unheard.is_some_and(|t| t.as_secs_f64() <= now.as_secs_f64() - took + 0.001);
         let count = &mut a.counts[lane];
         match outcome {
             Outcome::Satisfied | Outcome::Failed | Outcome::TurnedAway => {
@@ -798,12 +826,14 @@
                 a.unheard = (a.in_flight > 0).then_some(now);
                 a.strikes = 0;
             }
-            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken => {
+            // Lost, unless the appliance has answered others since: then this one was only heavy.
+            Outcome::TimedOut | Outcome::Withdrawn if !mute => {}
+            Outcome::TimedOut | Outcome::Withdrawn | Outcome::NoConnection | Outcome::Broken => {
                 a.strikes += 1;
                 count.lost += 1.0;
                 a.high.see(x.max(2.0));
             }
-            Outcome::Withdrawn | Outcome::NotSent => {}
+            Outcome::NotSent => {}
         }
         match outcome {
             Outcome::Satisfied => {
@@ -812,10 +842,8 @@
                 a.high.see(x);
                 if a.cold_since.is_none() {
                     let kind = &mut self.kind_pace[a.kind];
-                    count.timed += 1.0;
-                    if x > SLOW_AT * *kind {
-                        count.slow += 1.0;
-                    }
+                    a.timed += 1.0;
+                    a.pace += x.min(10.0) / *kind;
                     if !trial {
                         *kind += (x.min(10.0) - *kind) * 0.01;
                         l.usual += (took.min(l.usual * 10.0) - l.usual) * 0.02;
@@ -834,7 +862,7 @@
             }
             _ => {}
         }
-        let lost = a.strikes > 1 || outcome == Outcome::NoConnection;
+        let lost = mute && a.strikes > 1 || outcome == Outcome::NoConnection;
         if (lost && outcome != Outcome::Satisfied || a.failing > SICK_SHARE)
             && a.aside.is_none_or(|t| now >= t)
         {
@@ -865,6 +893,8 @@
             if all > KEEP {
                 a.counts.iter_mut().for_each(|c| c.fade(fade));
             }
+            a.timed *= fade;
+            a.pace *= fade;
         }
         for b in self.builds.values_mut() {
             let all: f64 = b.past.iter().map(Count::all).sum();
@@ -930,24 +960,22 @@
     }
 }
 
-fn regressed(t: &Count, b: &Count, ease: f64) -> Option<&'static str> {
-    if b.answered() < 1.0 {
-        return None;
-    }
-    let worse = |bad: f64, of: f64, base_bad: f64, base_of: f64, share: f64| {
-        bad >= LEAST_FAILURES * ease && bad > share * ease * of && base_of > 0.0 && base_bad < share * base_of
+/// Whether the build on trial regressed a lane that the earlier build satisfies.
+fn regressed(t: &Count, b: &Count, flagged_share: f64, ease: f64) -> Option<&'static str> {
+    let worse = |seen: f64, bad: f64, of: f64, base_bad: f64, base_of: f64, share: f64| {
+        seen >= LEAST_FAILURES * ease
+            && bad > share * ease * of
+            && base_of >= 1.0
+            && base_bad < share * base_of
     };
     // Answers that came and failed; lost ones do not blur this baseline.
-    if worse(t.failed, t.answered(), b.failed, b.answered(), FAILED_SHARE) {
+    let bad = |c: &Count| c.failed + c.flagged / flagged_share;
+    if worse(t.failed + t.flagged, bad(t), t.answered(), bad(b), b.answered(), FAILED_SHARE) {
         return Some("failed");
     }
-    if worse(t.failed + t.lost, t.all(), b.failed + b.lost, b.all(), LOST_SHARE) {
+    if worse(t.failed + t.lost, t.failed + t.lost, t.all(), b.failed + b.lost, b.all(), LOST_SHARE) {
         return Some("lost");
     }
-    let margin = SLOW_SHARE + 0.6 / t.timed.max(1.0).sqrt();
-    if t.timed >= KEEP && worse(t.slow, t.timed, b.slow, b.timed, margin) {
-        return Some("slow");
-    }
     None
 }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -16,6 +16,7 @@
     pub ask_within: Duration,
     pub probes: bool,
     pub second_copies: bool,
+    pub withdraw: bool,
     pub come_back: Option<Duration>,
     pub deliveries: usize,
     pub crossing_price: f64,
