--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,8 +33,9 @@
 const ASIDE_MOST: Duration = ms(4000);
 const SICK_SHARE: f64 = 0.3;
 // Load.
-const LATE: f64 = 0.9; // of the quoted time, at the nine-tenths quantile
-const RETRY_EACH: f64 = 0.2; // further deliveries earned by each command
+const TARGET: f64 = 0.4; // of the quoted time, the mean answer that still keeps nearly all within it
+const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
+const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
 const RETRY_MOST: f64 = 20.0;
 
 /// Evidence in one lane. Flagged answers are failures too; each stands for those that nobody reported.
@@ -132,7 +133,9 @@
     benefit: f64,
     repeats: Repeats,
     usual: f64, // seconds of an answer
-    recent: f64,
+    high: High,
+    done: f64,
+    rate: f64,
 }
 
 /// One agent's decisions.
@@ -150,7 +153,7 @@
     warm_sends: VecDeque<Duration>,
     in_flight: usize,
     limit: f64,
-    stretch: High,
+    stuck: usize,
     spare: f64,
     near: f64,
     far: f64,
@@ -176,7 +179,9 @@
                 benefit: l.benefit,
                 repeats: l.repeats,
                 usual: l.quoted.as_secs_f64() * 0.2,
-                recent: 0.0,
+                high: High(l.quoted.as_secs_f64() * 0.4),
+                done: 0.0,
+                rate: 0.0,
             })
             .collect();
         Choice {
@@ -192,7 +197,7 @@
             warm_sends: VecDeque::new(),
             in_flight: 0,
             limit: f64::INFINITY,
-            stretch: High(0.3),
+            stuck: 0,
             spare: RETRY_MOST,
             near: 1.0,
             far: 1.0,
@@ -222,7 +227,6 @@
         if let Some(l) = c.customer.and_then(|i| self.customer_load.get_mut(i)) {
             *l += 1.0;
         }
-        self.lanes[c.lane].recent += 1.0;
         let open = Open {
             lane: c.lane,
             customer: c.customer,
@@ -575,7 +579,7 @@
                 }
             }
         }
-        if !seen && self.slow(n.build, if was { 0.8 } else { 1.0 }) {
+        if !seen && self.slow(n.build, earlier.unwrap_or(0), if was { 0.8 } else { 1.0 }) {
             seen = true;
             worst = BACK_FAILURES;
             if !was {
@@ -602,11 +606,17 @@
         self.want = verdict.map(|verdict| Vote { build: n.build, stage: n.stage, verdict });
     }
 
-    /// Guards against a build that needs more work but fails nothing. Every appliance of it must be slow,
-    /// two at least, so that one slowed machine is not taken for a slow build.
-    fn slow(&self, build: u32, ease: f64) -> bool {
-        let of_build = || self.running().filter(|(_, a)| a.build == build && a.timed >= SLOW_TIMES);
-        of_build().count() > 1 && of_build().all(|(_, a)| a.pace > SLOW_AT * ease * a.timed)
+    /// Guards against a build that needs more work but fails nothing: all its appliances, two at least, are
+    /// slower than three quarters of the earlier build's now, so one slowed machine is no slow build.
+    fn slow(&self, build: u32, earlier: u32, ease: f64) -> bool {
+        let paces = |b: u32| {
+            let timed = self.running().filter(|(_, a)| a.build == b && a.timed >= SLOW_TIMES);
+            let mut paces: Vec<f64> = timed.map(|(_, a)| a.pace / a.timed).collect();
+            paces.sort_by(f64::total_cmp);
+            paces
+        };
+        let (trial, base) = (paces(build), paces(earlier));
+        trial.len() > 1 && base.len() > 2 && trial[0] > SLOW_AT * ease * base[base.len() * 3 / 4].max(1.0)
     }
 
     /// Counts of a build by lane. Appliances that are set aside are left out of an earlier build, and of
@@ -751,8 +761,8 @@
 
     /// How long an appliance may say nothing at all before it counts as silent.
     fn patience(&self) -> Duration {
-        let usual = self.lanes.iter().map(|l| l.usual).fold(0.0, f64::max);
-        Duration::from_secs_f64((usual * 5.0).clamp(0.1, 3.0))
+        let high = self.lanes.iter().map(|l| l.high.0.max(l.usual * 2.3)).fold(0.0, f64::max);
+        Duration::from_secs_f64((high * 2.0).clamp(0.1, 3.0))
     }
 
     fn silent(&self, i: usize, now: Duration, patience: Duration) -> bool {
@@ -806,8 +816,9 @@
         let trial = self.on_trial(build);
         let l = &mut self.lanes[lane];
         let took = took.as_secs_f64();
-        if matches!(outcome, Outcome::Satisfied | Outcome::TimedOut) {
-            self.stretch.see(took / l.quoted);
+        if matches!(outcome, Outcome::Satisfied | Outcome::Failed) {
+            l.done += 1.0;
+            l.high.see(took);
         }
         let Some(Some(a)) = self.fleet.get_mut(i) else { return };
         a.in_flight = a.in_flight.saturating_sub(1);
@@ -907,12 +918,23 @@
             let by = if self.near > self.far * 1.2 { 1.1 } else { 0.95 };
             self.abroad = (self.abroad * by).clamp(0.03, 1.0);
         }
-        let open = self.in_flight as f64;
-        if self.stretch.0 > LATE {
-            self.limit = (self.limit.min(open) * 0.97).max(self.running().count() as f64);
-        } else if open > 0.7 * self.limit {
-            self.limit *= 1.02;
+        // What may be in flight: the answers that come, times the mean answer time that is still good. Below
+        // it, answers grow with what is sent; above it, only the waiting does.
+        let gain = (SURVEY.as_secs_f64() / RATE_OVER).min(1.0);
+        let mut room = 0.0;
+        for l in &mut self.lanes {
+            l.rate += (l.done / SURVEY.as_secs_f64() - l.rate) * gain;
+            l.done = 0.0;
+            room += l.rate * (l.quoted * TARGET).max(l.usual);
         }
+        let patience = self.patience();
+        let stuck = |i: &usize| self.silent(*i, now, patience);
+        self.stuck = (0..self.fleet.len())
+            .filter(stuck)
+            .filter_map(|i| self.fleet[i].as_ref())
+            .map(|a| a.in_flight)
+            .sum();
+        self.limit = room + room.sqrt() + self.running().count() as f64;
         self.judge(now);
     }
 
@@ -931,7 +953,7 @@
                 room *= 0.8;
             }
         }
-        self.in_flight as f64 >= self.limit * room
+        (self.in_flight - self.stuck.min(self.in_flight)) as f64 >= self.limit * room
     }
 
     fn give_up(&mut self, id: u64) -> Answer {
