--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,7 +33,7 @@
 const ASIDE_MOST: Duration = ms(4000);
 const SICK_SHARE: f64 = 0.3;
 // Load.
-const TARGET: f64 = 0.4; // of the quoted time, the mean answer that still keeps nearly all within it
+const TARGET: f64 = 0.3; // of the quoted time, the mean answer that still keeps nearly all within it
 const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
 const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
 const RETRY_MOST: f64 = 20.0;
@@ -133,6 +133,7 @@
     benefit: f64,
     repeats: Repeats,
     usual: f64, // seconds of an answer
+    least: f64, // the lowest that has been
     high: High,
     done: f64,
     rate: f64,
@@ -179,6 +180,7 @@
                 benefit: l.benefit,
                 repeats: l.repeats,
                 usual: l.quoted.as_secs_f64() * 0.2,
+                least: l.quoted.as_secs_f64() * 0.2,
                 high: High(l.quoted.as_secs_f64() * 0.4),
                 done: 0.0,
                 rate: 0.0,
@@ -925,7 +927,8 @@
         for l in &mut self.lanes {
             l.rate += (l.done / SURVEY.as_secs_f64() - l.rate) * gain;
             l.done = 0.0;
-            room += l.rate * (l.quoted * TARGET).max(l.usual);
+            l.least = (l.least * 1.002).min(l.usual);
+            room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
         }
         let patience = self.patience();
         let stuck = |i: &usize| self.silent(*i, now, patience);
@@ -934,7 +937,7 @@
             .filter_map(|i| self.fleet[i].as_ref())
             .map(|a| a.in_flight)
             .sum();
-        self.limit = room + room.sqrt() + self.running().count() as f64;
+        self.limit = room + room.sqrt() + 2.0;
         self.judge(now);
     }
 
