Give the build on trial an even share from every zone

Cause: trial appliances were exempt from the zone preference, so all agents together sent them up to three times a fair share and then read their queues as a slow build.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,7 +21,7 @@
 const FAILED_SHARE: f64 = 0.04;
 const LOST_SHARE: f64 = 0.2; // answers that never came say less of a build than answers that failed
 const SLOW_AT: f64 = 1.6; // times the usual of its kind, on every appliance of the build, two at least
-const SLOW_TIMES: f64 = 12.0; // answers of each appliance
+const SLOW_TIMES: f64 = 25.0; // answers of each appliance
 const SETTLED: Duration = Duration::from_secs(6);
 const HALF_LIFE: f64 = 10.0; // seconds after which evidence weighs half
 const KEEP: f64 = 20.0; // a baseline is not forgotten below this many outcomes
@@ -699,6 +699,9 @@
         let window_start = now.saturating_sub(self.d.fall_for);
         let warm = self.running().filter(|(_, a)| a.cold_since.is_none()).count().max(1) as f64;
         let carried = self.warm_sends.iter().filter(|t| **t > window_start).count() as f64 / warm;
+        let near = self.running().filter(|(_, a)| a.zone == self.d.zone).count() as f64;
+        let all = self.running().count().max(1) as f64;
+        let fair = (near + (all - near) * self.abroad) / all;
         for (i, a) in self.running() {
             if a.build < floor || !self.may_expose(a.build, c.lane) || !self.same_group(c, a, now) {
                 continue;
@@ -715,12 +718,9 @@
             let trial = self.on_trial(a.build);
             let view = self.builds.get(&a.build);
             let mut draw = a.weight * ramp;
-            if trial || self.news.as_ref().is_some_and(|n| n.build == a.build) {
-                if view.is_some_and(|b| b.regressed) {
-                    draw *= 0.1;
-                } else if view.is_some_and(|b| b.proven) {
-                    draw *= 1.3;
-                }
+            if trial {
+                // From every zone alike, at what an appliance gets on the whole.
+                draw *= if view.is_some_and(|b| b.regressed) { fair * 0.1 } else { fair };
             } else if a.zone != self.d.zone {
                 draw *= self.abroad;
             }
