--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -193,7 +193,7 @@
                 };
                 let (took, finished) = (item.span("lag-ms")?, item.flag("finished")?);
                 let Some(id) = self.commands.get(name).copied() else { return Ok(()) };
-                let answer = self.choice.after(now, id, n, outcome, took, finished);
+                let answer = self.choice.after(now, id, n, End { outcome, took, closed: finished });
                 if let Some(c) = self.in_hand.get_mut(&id) {
                     c.out = c.out.saturating_sub(1);
                     c.closed |= finished;
@@ -234,7 +234,7 @@
                 let class = item.text("tier-class")?;
                 let appliance = self.appliances.number(item.text("appliance")?);
                 if let Some(lane) = self.lanes.iter().position(|l| l == class) {
-                    self.choice.flag(appliance, lane, item.span_or("lateness-ms", 0.0)?, now);
+                    self.choice.flag(now, appliance, lane, item.span_or("lateness-ms", 0.0)?);
                 }
             }
             "PeerData" => {}
--- a/src/types.rs
+++ b/src/types.rs
@@ -90,10 +90,11 @@
     pub started: Option<Duration>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Running,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -151,6 +152,14 @@
     }
 }
 
+/// How one delivery ended; `closed` when its command has had the final answer.
+#[derive(Clone, Debug)]
+pub struct End {
+    pub outcome: Outcome,
+    pub took: Duration,
+    pub closed: bool,
+}
+
 /// What to do with a command now.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
