--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,13 +21,14 @@
 const FAILED_SHARE: f64 = 0.04;
 const LOST_SHARE: f64 = 0.2; // a lost answer says less of a build than a failed one
 const SLOW_AT: f64 = 1.6; // times the pace of the earlier build's slower quarter
-const SLOW_TIMES: f64 = 25.0; // answers of each appliance
+const PACE_FADE: f64 = 0.97; // each survey
+const PACED: f64 = 12.0; // answers of late before an appliance's pace is known
 const SETTLED: Duration = ms(6000);
 const HALF_LIFE: f64 = 10.0; // seconds until evidence weighs half
 const KEEP: f64 = 20.0; // outcomes below which a baseline no longer fades
 const BACK_FAILURES: f64 = 6.0;
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
-const DRAG_AT: f64 = 1.35; // times the pace before the trial
+const DRAG_AT: f64 = 1.5; // times the pace before the trial
 const DRAG_TEST: Duration = ms(3000);
 const TRICKLE: f64 = 0.1; // of a fair share goes to a regressed build, so that it can show otherwise
                           // Health.
@@ -38,6 +39,7 @@
 // Load.
 const TARGET: f64 = 0.3; // of the quoted time: a mean answer that keeps nearly all within it
 const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
+const GAP: Duration = ms(250); // between calls of a kind, doubled as they fail
 const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
 const RETRY_MOST: f64 = 20.0;
 const COME_BACK: Duration = ms(500);
@@ -59,11 +61,8 @@
         self.flagged = self.flagged * by + o.flagged;
         self.lost = self.lost * by + o.lost;
     }
-    fn answered(&self) -> f64 {
-        self.satisfied + self.failed
-    }
     fn all(&self) -> f64 {
-        self.answered() + self.lost
+        self.satisfied + self.failed + self.lost
     }
 }
 
@@ -77,27 +76,6 @@
     }
 }
 
-/// A mean of fading samples.
-#[derive(Clone, Debug, Default)]
-struct Pace {
-    sum: f64,
-    times: f64,
-}
-
-impl Pace {
-    fn see(&mut self, x: f64) {
-        self.sum += x;
-        self.times += 1.0;
-    }
-    fn fade(&mut self, by: f64) {
-        self.sum *= by;
-        self.times *= by;
-    }
-    fn mean(&self) -> f64 {
-        self.sum / self.times.max(1e-9)
-    }
-}
-
 struct Delivery {
     appliance: usize,
     build: u32,
@@ -122,7 +100,6 @@
     standing: Standing,
     zone: usize,
     cell: u64,
-    kind: usize,
     build: u32,
     started: Option<Duration>,
     cold_since: Option<Duration>,
@@ -135,8 +112,8 @@
     high: High,
     weight: f64,
     counts: Vec<Count>,
-    pace: Pace,   // against the usual of its kind
-    recent: Pace, // against the time before the trial
+    pace: f64, // fading sums: answer times against those before the trial, and how many
+    paced: f64,
     sends: VecDeque<Duration>,
 }
 
@@ -158,20 +135,21 @@
     falls: u32,
 }
 
+#[derive(Default)]
 struct LaneView {
     quoted: f64,
-    density: Option<f64>, // benefit per work, where benefit goes by work
     benefit: f64,
     repeats: Repeats,
-    usual: f64,
-    least: f64,
-    before: f64,
+    usual: f64,  // seconds of an answer now,
+    least: f64,  // at its lowest of late,
+    before: f64, // before the trial
     high: High,
     done: f64,
     rate: f64,
 }
 
 /// What was read at the start, in the form the decisions use.
+#[derive(Default)]
 struct Bounds {
     zone: usize,
     tick: Duration,
@@ -179,12 +157,13 @@
     second_copies: bool,
     withdraw: bool,
     come_back: Option<Duration>,
-    crossing_priced: bool,
+    by_work: bool,
+    crossing: bool, // it costs something
     watch_most: Option<Duration>,
     cold_share: f64,
     cold_for: Duration,
     fall_for: Duration,
-    customers: Vec<f64>,
+    shares: Vec<f64>, // of the customers
     first_cap: f64,
     free: f64,
     by_lane: bool,
@@ -199,9 +178,10 @@
 }
 
 /// One agent's decisions.
+#[derive(Default)]
 pub struct Choice {
     at: Bounds,
-    rng: Pcg64Mcg,
+    rng: Option<Pcg64Mcg>,
     lanes: Vec<LaneView>,
     commands: BTreeMap<u64, Open>,
     fleet: Vec<Appliance>,
@@ -209,12 +189,11 @@
     bound: BTreeSet<u64>, // keys that the build on trial has answered
     news: Option<News>,
     drag: Drag,
-    kind_pace: Vec<f64>,
     customer_load: Vec<f64>,
     warm_sends: VecDeque<Duration>,
     in_flight: usize,
     stuck: usize,
-    limit: f64,
+    limit: Option<f64>,
     spare: f64,
     near: f64,
     far: f64,
@@ -232,76 +211,47 @@
 
 impl Choice {
     pub fn new(now: Duration, d: Deployment) -> Choice {
+        let r = d.rollout;
+        let at = Bounds {
+            zone: d.zone,
+            tick: d.tick,
+            deliveries: d.deliveries,
+            second_copies: d.second_copies,
+            withdraw: d.withdraw,
+            come_back: d.come_back.map(|most| most.min(COME_BACK)),
+            by_work: d.benefit_by_work,
+            crossing: d.crossing_price > 0.0,
+            watch_most: d.list_asked.then_some(d.ask_within / 5),
+            cold_share: d.cold_share,
+            cold_for: d.cold_for,
+            fall_for: d.fall_for,
+            shares: d.customers.iter().map(|c| c.share).collect(),
+            first_cap: r.caps.first().copied().unwrap_or(0.0),
+            free: r.free,
+            by_lane: r.by_lane,
+            guarded: r.guarded_stages,
+            one_way: r.one_way,
+            votes: r.by_clock,
+            in_place: r.in_place,
+            vote_life: r.vote_life,
+            vote_wait: r.vote_wait + ms(500),
+            vote_share: Duration::from_secs_f64((f64::from(d.agents) / r.votes_per_s.max(0.1)).min(2.0)),
+            flag_worth: 1.0 / r.flagged_share.clamp(0.1, 1.0),
+        };
         let view = |l: &Lane| {
-            let quoted = l.quoted.as_secs_f64();
-            LaneView {
-                quoted,
-                density: d.benefit_by_work.then_some(l.benefit),
-                benefit: l.benefit,
-                repeats: l.repeats,
-                usual: quoted * 0.2,
-                least: quoted * 0.2,
-                before: quoted * 0.2,
-                high: High(quoted * 0.4),
-                done: 0.0,
-                rate: 0.0,
-            }
+            let (quoted, usual) = (l.quoted.as_secs_f64(), l.quoted.as_secs_f64() * 0.2);
+            let (high, least, before, benefit, repeats) =
+                (High(usual * 2.0), usual, usual, l.benefit, l.repeats);
+            LaneView { quoted, benefit, repeats, usual, least, before, high, ..LaneView::default() }
         };
-        let r = d.rollout;
-        let share = f64::from(d.agents) / r.votes_per_s.max(0.1);
         Choice {
-            rng: Pcg64Mcg::seed_from_u64(d.seed),
+            at,
+            rng: Some(Pcg64Mcg::seed_from_u64(d.seed)),
             lanes: d.lanes.iter().map(view).collect(),
             customer_load: vec![0.0; d.customers.len()],
-            abroad: if d.crossing_price > 0.0 { 0.1 } else { 1.0 },
             watch_at: d.list_asked.then_some(now),
-            at: Bounds {
-                zone: d.zone,
-                tick: d.tick,
-                deliveries: d.deliveries,
-                second_copies: d.second_copies,
-                withdraw: d.withdraw,
-                come_back: d.come_back.map(|most| most.min(COME_BACK)),
-                crossing_priced: d.crossing_price > 0.0,
-                watch_most: d.list_asked.then_some(d.ask_within / 5),
-                cold_share: d.cold_share,
-                cold_for: d.cold_for,
-                fall_for: d.fall_for,
-                customers: d.customers.iter().map(|c| c.share).collect(),
-                first_cap: r.caps.first().copied().unwrap_or(0.0),
-                free: r.free,
-                by_lane: r.by_lane,
-                guarded: r.guarded_stages,
-                one_way: r.one_way,
-                votes: r.by_clock,
-                in_place: r.in_place,
-                vote_life: r.vote_life,
-                vote_wait: r.vote_wait + ms(500),
-                vote_share: Duration::from_secs_f64(share.min(2.0)),
-                flag_worth: 1.0 / r.flagged_share.clamp(0.1, 1.0),
-            },
-            commands: BTreeMap::new(),
-            fleet: Vec::new(),
-            builds: BTreeMap::new(),
-            bound: BTreeSet::new(),
-            news: None,
-            drag: Drag::default(),
-            kind_pace: Vec::new(),
-            warm_sends: VecDeque::new(),
-            in_flight: 0,
-            stuck: 0,
-            limit: f64::INFINITY,
             spare: RETRY_MOST,
-            near: 1.0,
-            far: 1.0,
-            want: None,
-            standing: None,
-            pending: None,
-            vote_at: now,
-            vote_gap: ms(250),
-            survey_at: now,
-            watch_gap: ms(250),
-            notes: Vec::new(),
+            ..Choice::default()
         }
     }
 
@@ -337,7 +287,7 @@
 
     /// Entries of the list; `complete` when whatever it lacks is gone.
     pub fn list(&mut self, now: Duration, entries: &[Listed], complete: bool) {
-        self.watch_gap = ms(250);
+        self.watch_gap = GAP;
         if complete {
             let named: BTreeSet<usize> = entries.iter().map(|e| e.appliance).collect();
             (0..self.fleet.len()).filter(|i| !named.contains(i)).for_each(|i| self.retire(i, Standing::Gone));
@@ -346,9 +296,6 @@
             if self.fleet.len() <= e.appliance {
                 self.fleet.resize_with(e.appliance + 1, Appliance::default);
             }
-            if self.kind_pace.len() <= e.kind {
-                self.kind_pace.resize(e.kind + 1, 1.0);
-            }
             let a = &self.fleet[e.appliance];
             let same = a.build == e.build && a.started == e.started;
             if e.standing == Standing::Running && a.standing == Standing::Running && same {
@@ -363,7 +310,6 @@
                 standing: e.standing,
                 zone: e.zone,
                 cell: e.cell,
-                kind: e.kind,
                 build: e.build,
                 started: e.started,
                 cold_since: e.started.filter(|s| *s + self.at.cold_for > now),
@@ -383,8 +329,8 @@
     /// A list call failed, or the watch broke: ask again, less and less often.
     pub fn list_failed(&mut self, now: Duration) {
         if let Some(most) = self.at.watch_most {
-            self.watch_at = Some(now + self.watch_gap.mul_f64(self.rng.gen_range(0.7..1.3)));
-            self.watch_gap = (self.watch_gap * 2).min(most);
+            self.watch_at = Some(now + self.watch_gap.mul_f64(0.7 + 0.6 * self.chance()));
+            self.watch_gap = (self.watch_gap * 2).clamp(GAP, most.max(GAP));
         }
     }
 
@@ -413,8 +359,8 @@
     pub fn reply(&mut self, now: Duration, r: Reply) {
         let Some((vote, _)) = self.pending.take() else { return };
         self.vote_gap = match r {
-            Reply::Counted | Reply::Moot => ms(250),
-            Reply::Refused | Reply::Unknown => (self.vote_gap * 2).min(ms(2000)),
+            Reply::Counted | Reply::Moot => GAP,
+            Reply::Refused | Reply::Unknown => (self.vote_gap * 2).clamp(GAP, ms(2000)),
         };
         match (r, vote.verdict) {
             (Reply::Counted, Verdict::None) | (Reply::Moot, _) => self.standing = None,
@@ -588,24 +534,35 @@
         // Until the build has settled, a hold once placed is kept on half of what placed it.
         let ease = if was && now < newest + SETTLED { 0.5 } else { 1.0 };
         let (mut why, mut strength) = (None, 0.0f64);
-        for (source, t, b) in [
-            ("here", self.totals(n.build), self.totals(earlier)),
-            ("tally", self.tallied(n.build), self.tallied(earlier)),
-        ] {
+        let tallied = |b: u32| self.builds.get(&b).map_or_else(Vec::new, |b| b.tally.clone());
+        let here = (self.totals(n.build), self.totals(earlier));
+        // The platform's count takes in sick appliances, so it must show twice as much.
+        for (ease, t, b) in [(ease, here.0, here.1), (ease * 2.0, tallied(n.build), tallied(earlier))] {
             if t.iter().map(Count::all).sum::<f64>() < LEAST_OUTCOMES {
                 continue;
             }
             for (lane, (t, b)) in t.iter().zip(&b).enumerate() {
                 if let Some(what) = regressed(t, b, self.at.flag_worth, ease) {
                     strength = strength.max(t.failed + t.flagged + t.lost);
-                    why = Some(format!("{source}: lane {lane} {what}, trial {t:.0?}, earlier {b:.0?}"));
+                    why = Some(format!("lane {lane} {what}, trial {t:.0?}, earlier {b:.0?}"));
                 }
             }
         }
-        if self.slow(n.build, earlier, if was { 0.8 } else { 1.0 }) {
+        let paces = |b: u32| {
+            let known = self.running().filter(|(_, a)| a.build == b && a.paced >= PACED);
+            let mut paces: Vec<f64> = known.map(|(_, a)| a.pace / a.paced).collect();
+            paces.sort_by(f64::total_cmp);
+            paces
+        };
+        let (trial, base) = (paces(n.build), paces(earlier));
+        // Guards against a build that needs more work but fails nothing: all its appliances, two at least, are
+        // slower than three quarters of the earlier build's now, so one slowed machine is no slow build.
+        let at = SLOW_AT * if was { 0.8 } else { 1.0 };
+        if trial.len() > 1 && base.len() > 2 && trial[0] > at * base[base.len() * 3 / 4].max(1.0) {
             (why, strength) = (Some("slow on every appliance".into()), BACK_FAILURES);
         }
-        if n.phase == Phase::Trial && self.drags(now, n.build, earlier) {
+        let middle = base.get(base.len() / 2).copied().filter(|_| base.len() > 2);
+        if n.phase == Phase::Trial && self.drags(now, n.build, middle) {
             (why, strength) =
                 (Some("the fleet slows with it".into()), strength.max(f64::from(self.drag.falls) * 3.0));
         }
@@ -630,73 +587,47 @@
         self.want = verdict.map(|verdict| Vote { build: n.build, stage: n.stage, verdict });
     }
 
-    /// Guards against a build that needs more work but fails nothing: all its appliances, two at least, are
-    /// slower than three quarters of the earlier build's now, so one slowed machine is no slow build.
-    fn slow(&self, build: u32, earlier: u32, ease: f64) -> bool {
-        let paces = |b: u32| {
-            let timed = self.running().filter(|(_, a)| a.build == b && a.pace.times >= SLOW_TIMES);
-            let mut paces: Vec<f64> = timed.map(|(_, a)| a.pace.mean()).collect();
-            paces.sort_by(f64::total_cmp);
-            paces
-        };
-        let (trial, base) = (paces(build), paces(earlier));
-        trial.len() > 1 && base.len() > 2 && trial[0] > SLOW_AT * ease * base[base.len() * 3 / 4].max(1.0)
-    }
-
     /// Guards against a build that slows old and new alike in step with its traffic. When the earlier build's
     /// middle appliance has slowed since the trial began, the trial gets a trickle for a while: if the fleet
     /// recovers, and does so twice, the build is the cause; if not, something else is, and this pace is the
     /// new measure. Costs a good build the test's length whenever load or a trouble slows most appliances.
-    fn drags(&mut self, now: Duration, build: u32, earlier: u32) -> bool {
-        let known = |a: &&(usize, &Appliance)| a.1.build == earlier && a.1.recent.times > 4.0;
-        let mut paces: Vec<f64> = Vec::new();
-        paces.extend(self.running().filter(|p| known(&p)).map(|(_, a)| a.recent.mean()));
-        paces.sort_by(f64::total_cmp);
+    fn drags(&mut self, now: Duration, build: u32, pace: Option<f64>) -> bool {
         let started = self.running().any(|(_, a)| a.build == build);
         let d = &mut self.drag;
-        let Some(pace) = paces.get(paces.len() / 2).copied().filter(|_| paces.len() > 2) else {
-            return d.until.is_some() || d.falls > 1;
-        };
-        if d.before == 0.0 || !started {
-            d.before = if d.before == 0.0 { pace } else { d.before + (pace - d.before) * 0.05 };
-        }
-        match d.until {
-            Some(t) if now >= t => {
-                d.until = None;
-                if pace < (d.before + d.worst) / 2.0 {
-                    d.falls += 1;
-                } else {
-                    d.before = pace;
-                    d.falls = 0;
-                }
+        if let Some(pace) = pace {
+            if d.before == 0.0 || !started {
+                d.before = if d.before == 0.0 { pace } else { d.before + (pace - d.before) * 0.05 };
             }
-            None if started && d.falls < 2 && pace > d.before * DRAG_AT => {
+            if d.until.take_if(|t| now >= *t).is_some() {
+                let recovered = pace < d.before + (d.worst - d.before) * 0.4;
+                d.falls = if recovered { d.falls + 1 } else { 0 };
+                d.before = if recovered { d.before } else { pace };
+            } else if d.until.is_none() && started && d.falls < 2 && pace > d.before * DRAG_AT {
                 d.worst = pace;
                 d.until = Some(now + DRAG_TEST);
             }
-            _ => {}
         }
         d.until.is_some() || d.falls > 1
     }
 
-    /// Counts of a build by lane. Appliances set aside are left out of an earlier build, and of the newest
-    /// one where it has others: a sick machine says nothing of its build.
+    /// Counts of a build by lane, without the third of its appliances that look worst. Guards against sick
+    /// machines that speak ill of their build, and against lost answers that erase the baseline.
     fn totals(&self, build: u32) -> Vec<Count> {
         let none = || vec![Count::default(); self.lanes.len()];
         let mut sum = self.builds.get(&build).map_or_else(none, |b| b.past.clone());
-        let newest = self.news.as_ref().is_some_and(|n| n.build == build);
-        let of_build = || self.running().filter(|(_, a)| a.build == build);
-        let all_aside = newest && of_build().all(|(_, a)| a.aside.is_some());
-        for (_, a) in of_build().filter(|(_, a)| a.aside.is_none() || all_aside) {
+        let bad = |a: &Appliance| {
+            let (all, good) = a.counts.iter().fold((1.0, 1.0), |s, c| (s.0 + c.all(), s.1 + c.satisfied));
+            good / all
+        };
+        let mut of_build: Vec<(f64, &Appliance)> = Vec::new();
+        of_build.extend(self.running().filter(|(_, a)| a.build == build).map(|(_, a)| (bad(a), a)));
+        of_build.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, a) in &of_build[(of_build.len() + 1) / 3..] {
             sum.iter_mut().zip(&a.counts).for_each(|(s, c)| s.mix(1.0, c));
         }
         sum
     }
 
-    fn tallied(&self, build: u32) -> Vec<Count> {
-        self.builds.get(&build).map_or_else(Vec::new, |b| b.tally.clone())
-    }
-
     fn vote(&mut self, now: Duration) -> Option<Vote> {
         if let Some((_, sent)) = self.pending {
             if now < sent + self.at.vote_wait {
@@ -791,7 +722,15 @@
             pool[rank].push((i, draw, (a.in_flight as f64 + 1.0) / (a.weight * ramp)));
         }
         let fit = pool.iter().find(|p| !p.is_empty())?;
-        let (one, two) = (draw(&mut self.rng, fit)?, draw(&mut self.rng, fit)?);
+        let total: f64 = fit.iter().map(|c| c.1).sum();
+        let mut draw = || {
+            let mut at = self.chance() * total;
+            fit.iter().find(|c| {
+                at -= c.1;
+                at <= 0.0
+            })
+        };
+        let (one, two) = (draw().or(fit.last())?, draw().or(fit.last())?);
         Some(if two.2 < one.2 { two.0 } else { one.0 })
     }
 
@@ -904,10 +843,9 @@
             let x = (took / l.usual).min(10.0);
             a.high.see(x);
             if a.cold_since.is_none() {
-                a.pace.see(x / self.kind_pace[a.kind]);
-                a.recent.see((took / l.before).min(10.0));
+                a.pace += (took / l.before).min(10.0);
+                a.paced += 1.0;
                 if !trial {
-                    self.kind_pace[a.kind] += (x - self.kind_pace[a.kind]) * 0.01;
                     l.usual += (took.min(l.usual * 10.0) - l.usual) * 0.02;
                     let side = if a.zone == self.at.zone { &mut self.near } else { &mut self.far };
                     *side += (x - *side) * 0.03;
@@ -952,15 +890,15 @@
             let pace = (a.high.0 / median).max(0.3);
             a.weight = if pace < 1.5 { pace.powf(-0.5) } else { 1.5f64.powf(1.5) * pace.powi(-2) };
             old(&mut a.counts);
-            a.pace.fade(fade);
-            a.recent.fade(0.93);
+            a.pace *= PACE_FADE;
+            a.paced *= PACE_FADE;
         }
         for b in self.builds.values_mut() {
             old(&mut b.past);
             old(&mut b.tally);
         }
         self.customer_load.iter_mut().for_each(|l| *l *= 0.98);
-        if self.at.crossing_priced {
+        if self.at.crossing {
             let by = if self.near > self.far * 1.2 { 1.1 } else { 0.95 };
             self.abroad = (self.abroad * by).clamp(0.03, 1.0);
         }
@@ -975,7 +913,7 @@
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
             good &= l.usual < l.quoted * TARGET * 0.6;
         }
-        self.limit = if good { f64::INFINITY } else { room + room.sqrt() + 2.0 };
+        self.limit = (!good).then_some(room + room.sqrt() + 2.0);
         let patience = self.patience();
         let stuck = (0..self.fleet.len()).filter(|i| self.silent(*i, now, patience));
         self.stuck = stuck.map(|i| self.fleet[i].in_flight).sum();
@@ -986,16 +924,16 @@
 
     /// Whether the load leaves no room for a command of this lane and customer.
     fn crowded(&self, c: &Open) -> bool {
-        let density = |l: &LaneView| l.density.unwrap_or(l.benefit / l.least.max(1e-4));
+        let Some(limit) = self.limit else { return false };
+        let density = |l: &LaneView| l.benefit / if self.at.by_work { 1.0 } else { l.least.max(1e-4) };
         let best = self.lanes.iter().map(density).fold(1e-9, f64::max);
         let mut room = 0.8 + 0.2 * density(&self.lanes[c.lane]) / best;
         let total = self.customer_load.iter().sum::<f64>().max(1.0);
-        let over =
-            |i: usize| self.at.customers.get(i).is_some_and(|s| self.customer_load[i] > total * s * 1.15);
+        let over = |i: usize| self.at.shares.get(i).is_some_and(|s| self.customer_load[i] > total * s * 1.15);
         if c.customer.is_some_and(over) {
             room *= 0.8;
         }
-        self.in_flight.saturating_sub(self.stuck) as f64 >= self.limit * room
+        self.in_flight.saturating_sub(self.stuck) as f64 >= limit * room
     }
 
     /// The final answer, at once: a denial where a retry is harmless.
@@ -1015,6 +953,10 @@
         }
     }
 
+    fn chance(&mut self) -> f64 {
+        self.rng.as_mut().map_or(0.0, |r| r.gen_range(0.0..1.0))
+    }
+
     fn close(&mut self, id: u64) {
         if let Some(c) = self.commands.get_mut(&id) {
             c.closed = true;
@@ -1035,18 +977,16 @@
     };
     // Answers that came and failed; lost ones do not blur this baseline.
     let bad = |c: &Count| c.failed + c.flagged * flag_worth;
-    if worse(t.failed + t.flagged, bad(t), t.answered(), bad(b), b.answered(), FAILED_SHARE) {
+    if worse(
+        t.failed + t.flagged,
+        bad(t),
+        t.satisfied + t.failed,
+        bad(b),
+        b.satisfied + b.failed,
+        FAILED_SHARE,
+    ) {
         return Some("failed");
     }
     let lost = |c: &Count| c.failed + c.lost;
     worse(lost(t), lost(t), t.all(), lost(b), b.all(), LOST_SHARE).then_some("lost")
 }
-
-fn draw(rng: &mut Pcg64Mcg, from: &[(usize, f64, f64)]) -> Option<(usize, f64, f64)> {
-    let mut at = rng.gen_range(0.0..1.0) * from.iter().map(|c| c.1).sum::<f64>();
-    let reached = |c: &&(usize, f64, f64)| {
-        at -= c.1;
-        at <= 0.0
-    };
-    from.iter().find(reached).or(from.last()).copied()
-}
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,5 +1,5 @@
 //! What goes into a [`Choice`](crate::Choice) and what comes back: plain data, no decisions.
-//! Times are spans since the start; appliances, lanes, customers, zones and kinds are small indices.
+//! Times are spans since the start; appliances, lanes, customers and zones are small indices.
 
 use std::time::Duration;
 
@@ -50,10 +50,14 @@
     pub repeats: Repeats,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeats {
     Idempotent,
-    Deduplicated { group: Group, window: Duration },
+    Deduplicated {
+        group: Group,
+        window: Duration,
+    },
+    #[default]
     Unrepeatable,
 }
 
@@ -84,7 +88,6 @@
     pub appliance: usize,
     pub zone: usize,
     pub cell: u64,
-    pub kind: usize,
     pub build: u32,
     pub standing: Standing,
     pub started: Option<Duration>,
