--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,15 +21,14 @@
 const FAILED_SHARE: f64 = 0.04;
 const LOST_SHARE: f64 = 0.2; // a lost answer says less of a build than a failed one
 const SLOW_AT: f64 = 1.6; // times the pace of the earlier build's slower quarter
-const PACE_FADE: f64 = 0.97; // each survey
-const PACED: f64 = 12.0; // answers of late before an appliance's pace is known
+const PACED: u32 = 16; // answers that make an appliance's pace
 const SETTLED: Duration = ms(6000);
 const HALF_LIFE: f64 = 10.0; // seconds until evidence weighs half
 const KEEP: f64 = 20.0; // outcomes below which a baseline no longer fades
 const BACK_FAILURES: f64 = 6.0;
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
-const DRAG_AT: f64 = 1.5; // times the pace before the trial
-const DRAG_TEST: Duration = ms(3000);
+const DRAG_AT: f64 = 1.35; // times the pace before the trial
+const DRAG_TEST: Duration = ms(3500);
 const TRICKLE: f64 = 0.1; // of a fair share goes to a regressed build, so that it can show otherwise
                           // Health.
 const SURVEY: Duration = ms(100);
@@ -37,7 +36,7 @@
 const ASIDE_MOST: Duration = ms(4000);
 const SICK_SHARE: f64 = 0.3;
 // Load.
-const TARGET: f64 = 0.3; // of the quoted time: a mean answer that keeps nearly all within it
+const TARGET: f64 = 0.4; // of the quoted time: a mean answer that keeps nearly all within it
 const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
 const GAP: Duration = ms(250); // between calls of a kind, doubled as they fail
 const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
@@ -112,8 +111,8 @@
     high: High,
     weight: f64,
     counts: Vec<Count>,
-    pace: f64, // fading sums: answer times against those before the trial, and how many
-    paced: f64,
+    pace: f64, // mean of late: answer times against those before the trial
+    paced: u32,
     sends: VecDeque<Duration>,
 }
 
@@ -239,7 +238,7 @@
             flag_worth: 1.0 / r.flagged_share.clamp(0.1, 1.0),
         };
         let view = |l: &Lane| {
-            let (quoted, usual) = (l.quoted.as_secs_f64(), l.quoted.as_secs_f64() * 0.2);
+            let (quoted, usual) = (l.quoted.as_secs_f64(), l.quoted.as_secs_f64() * 0.15);
             let (high, least, before, benefit, repeats) =
                 (High(usual * 2.0), usual, usual, l.benefit, l.repeats);
             LaneView { quoted, benefit, repeats, usual, least, before, high, ..LaneView::default() }
@@ -542,7 +541,8 @@
                 continue;
             }
             for (lane, (t, b)) in t.iter().zip(&b).enumerate() {
-                if let Some(what) = regressed(t, b, self.at.flag_worth, ease) {
+                let what = regressed(t, b, self.at.flag_worth, ease);
+                if let Some(what) = what.filter(|_| t.flagged >= LEAST_FAILURES || self.widespread(n.build)) {
                     strength = strength.max(t.failed + t.flagged + t.lost);
                     why = Some(format!("lane {lane} {what}, trial {t:.0?}, earlier {b:.0?}"));
                 }
@@ -550,7 +550,7 @@
         }
         let paces = |b: u32| {
             let known = self.running().filter(|(_, a)| a.build == b && a.paced >= PACED);
-            let mut paces: Vec<f64> = known.map(|(_, a)| a.pace / a.paced).collect();
+            let mut paces: Vec<f64> = known.map(|(_, a)| a.pace).collect();
             paces.sort_by(f64::total_cmp);
             paces
         };
@@ -610,24 +610,28 @@
         d.until.is_some() || d.falls > 1
     }
 
-    /// Counts of a build by lane, without the third of its appliances that look worst. Guards against sick
-    /// machines that speak ill of their build, and against lost answers that erase the baseline.
+    /// Counts of a build by lane. Appliances set aside are left out of an earlier build: their lost answers
+    /// would erase the baseline.
     fn totals(&self, build: u32) -> Vec<Count> {
         let none = || vec![Count::default(); self.lanes.len()];
         let mut sum = self.builds.get(&build).map_or_else(none, |b| b.past.clone());
-        let bad = |a: &Appliance| {
-            let (all, good) = a.counts.iter().fold((1.0, 1.0), |s, c| (s.0 + c.all(), s.1 + c.satisfied));
-            good / all
-        };
-        let mut of_build: Vec<(f64, &Appliance)> = Vec::new();
-        of_build.extend(self.running().filter(|(_, a)| a.build == build).map(|(_, a)| (bad(a), a)));
-        of_build.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, a) in &of_build[(of_build.len() + 1) / 3..] {
+        let newest = self.news.as_ref().is_some_and(|n| n.build == build);
+        for (_, a) in self.running().filter(|(_, a)| a.build == build && (newest || a.aside.is_none())) {
             sum.iter_mut().zip(&a.counts).for_each(|(s, c)| s.mix(1.0, c));
         }
         sum
     }
 
+    /// Guards against sick machines that speak ill of their build: what the build does wrong shows on each of
+    /// its appliances that has answered enough. May delay the verdict on a build that fails rarely.
+    fn widespread(&self, build: u32) -> bool {
+        self.running().filter(|(_, a)| a.build == build).all(|(_, a)| {
+            let (all, bad) =
+                a.counts.iter().fold((0.0, 0.0), |s, c| (s.0 + c.all(), s.1 + c.failed + c.lost));
+            all < LEAST_OUTCOMES || bad > all * FAILED_SHARE / 2.0
+        })
+    }
+
     fn vote(&mut self, now: Duration) -> Option<Vote> {
         if let Some((_, sent)) = self.pending {
             if now < sent + self.at.vote_wait {
@@ -843,8 +847,8 @@
             let x = (took / l.usual).min(10.0);
             a.high.see(x);
             if a.cold_since.is_none() {
-                a.pace += (took / l.before).min(10.0);
-                a.paced += 1.0;
+                a.paced = (a.paced + 1).min(PACED);
+                a.pace += ((took / l.before).min(10.0) - a.pace) / f64::from(a.paced);
                 if !trial {
                     l.usual += (took.min(l.usual * 10.0) - l.usual) * 0.02;
                     let side = if a.zone == self.at.zone { &mut self.near } else { &mut self.far };
@@ -890,8 +894,6 @@
             let pace = (a.high.0 / median).max(0.3);
             a.weight = if pace < 1.5 { pace.powf(-0.5) } else { 1.5f64.powf(1.5) * pace.powi(-2) };
             old(&mut a.counts);
-            a.pace *= PACE_FADE;
-            a.paced *= PACE_FADE;
         }
         for b in self.builds.values_mut() {
             old(&mut b.past);
@@ -911,7 +913,7 @@
             l.done = 0.0;
             l.least = (l.least * 1.002).min(l.usual);
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
-            good &= l.usual < l.quoted * TARGET * 0.6;
+            good &= l.usual < l.quoted * TARGET * 0.5;
         }
         self.limit = (!good).then_some(room + room.sqrt() + 2.0);
         let patience = self.patience();
