--- a/src/choice.rs
+++ b/src/choice.rs
@@ -600,10 +600,12 @@
             }
             if d.until.take_if(|t| now >= *t).is_some() {
                 let recovered = pace < d.before + (d.worst - d.before) * 0.4;
+                self.notes.push(format!("drag test ends: pace {pace:.2}, before {:.2}, worst {:.2}", d.before, d.worst));
                 d.falls = if recovered { d.falls + 1 } else { 0 };
                 d.before = if recovered { d.before } else { pace };
             } else if d.until.is_none() && started && d.falls < 2 && pace > d.before * DRAG_AT {
                 d.worst = pace;
+                self.notes.push(format!("drag test: pace {pace:.2}, before {:.2}", d.before));
                 d.until = Some(now + DRAG_TEST);
             }
         }
