--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,7 +27,7 @@
 const KEEP: f64 = 20.0; // outcomes below which a baseline no longer fades
 const BACK_FAILURES: f64 = 6.0;
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
-const DRAG_AT: f64 = 1.35; // times the pace before the trial
+const DRAG_AT: f64 = 2.0; // times the pace before the trial
 const DRAG_TEST: Duration = ms(3500);
 const TRICKLE: f64 = 0.1; // of a fair share goes to a regressed build, so that it can show otherwise
                           // Health.
@@ -35,6 +35,7 @@
 const ASIDE_FIRST: Duration = ms(500);
 const ASIDE_MOST: Duration = ms(4000);
 const SICK_SHARE: f64 = 0.3;
+const SICK_FOR: Duration = ms(8000);
 // Load.
 const TARGET: f64 = 0.4; // of the quoted time: a mean answer that keeps nearly all within it
 const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
@@ -192,6 +193,7 @@
     warm_sends: VecDeque<Duration>,
     in_flight: usize,
     stuck: usize,
+    sick_until: Duration, // single machines of the earlier build fail, too
     limit: Option<f64>,
     spare: f64,
     near: f64,
@@ -373,10 +375,10 @@
         self.vote_at = now + self.vote_gap.max(self.at.vote_share);
     }
 
-    /// The platform's sampled count of a build in a lane: evidence on lanes too rare here.
+    /// The platform's sampled count of a build in a lane. It does not tell failed answers from lost ones.
     pub fn tally(&mut self, t: Tally) {
         if t.lane < self.lanes.len() {
-            let count = Count { satisfied: t.deliveries - t.failed, failed: t.failed, ..Count::default() };
+            let count = Count { satisfied: t.deliveries - t.failed, lost: t.failed, ..Count::default() };
             self.build(t.build).tally[t.lane].mix(1.0, &count);
         }
     }
@@ -535,8 +537,7 @@
         let (mut why, mut strength) = (None, 0.0f64);
         let tallied = |b: u32| self.builds.get(&b).map_or_else(Vec::new, |b| b.tally.clone());
         let here = (self.totals(n.build), self.totals(earlier));
-        // The platform's count takes in sick appliances, so it must show twice as much.
-        for (ease, t, b) in [(ease, here.0, here.1), (ease * 2.0, tallied(n.build), tallied(earlier))] {
+        for (t, b) in [here, (tallied(n.build), tallied(earlier))] {
             if t.iter().map(Count::all).sum::<f64>() < LEAST_OUTCOMES {
                 continue;
             }
@@ -562,7 +563,7 @@
             (why, strength) = (Some("slow on every appliance".into()), BACK_FAILURES);
         }
         let middle = base.get(base.len() / 2).copied().filter(|_| base.len() > 2);
-        if n.phase == Phase::Trial && self.drags(now, n.build, middle) {
+        if n.phase == Phase::Trial && !self.at.in_place && self.drags(now, n.build, middle) {
             (why, strength) =
                 (Some("the fleet slows with it".into()), strength.max(f64::from(self.drag.falls) * 3.0));
         }
@@ -600,7 +601,10 @@
             }
             if d.until.take_if(|t| now >= *t).is_some() {
                 let recovered = pace < d.before + (d.worst - d.before) * 0.4;
-                self.notes.push(format!("drag test ends: pace {pace:.2}, before {:.2}, worst {:.2}", d.before, d.worst));
+                self.notes.push(format!(
+                    "drag test ends: pace {pace:.2}, before {:.2}, worst {:.2}",
+                    d.before, d.worst
+                ));
                 d.falls = if recovered { d.falls + 1 } else { 0 };
                 d.before = if recovered { d.before } else { pace };
             } else if d.until.is_none() && started && d.falls < 2 && pace > d.before * DRAG_AT {
@@ -807,6 +811,7 @@
     /// What one outcome says of its appliance, its build and its lane.
     fn learn(&mut self, now: Duration, i: usize, build: u32, lane: usize, end: &End) {
         let trial = self.on_trial(build);
+        let newest = self.news.as_ref().is_some_and(|n| build >= n.build);
         let quiet = !self.running().any(|(_, a)| self.on_trial(a.build));
         let (a, l) = (&mut self.fleet[i], &mut self.lanes[lane]);
         let took = end.took.as_secs_f64();
@@ -840,8 +845,15 @@
             l.high.see(took);
         }
         if end.outcome == Outcome::Failed {
-            a.counts[lane].failed += 1.0;
             a.failing += 0.15 * (1.0 - a.failing);
+            // Guards against machines that fail whatever they run: while some of the earlier build do, one of
+            // the trial that fails as badly says nothing of its build. May let a bad build on for that time.
+            let sick = now < self.sick_until && a.failing > SICK_SHARE;
+            a.counts.iter_mut().filter(|_| sick).for_each(|c| c.failed = 0.0);
+            a.counts[lane].failed += if sick { 0.0 } else { 1.0 };
+            if !newest && a.failing > SICK_SHARE {
+                self.sick_until = now + SICK_FOR;
+            }
         }
         if end.outcome == Outcome::Satisfied {
             a.counts[lane].satisfied += 1.0;
@@ -992,5 +1004,5 @@
         return Some("failed");
     }
     let lost = |c: &Count| c.failed + c.lost;
-    worse(lost(t), lost(t), t.all(), lost(b), b.all(), LOST_SHARE).then_some("lost")
+    worse(lost(t) / 2.0, lost(t), t.all(), lost(b), b.all(), LOST_SHARE).then_some("lost")
 }
