--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,13 +21,14 @@
 const FAILED_SHARE: f64 = 0.04;
 const LOST_SHARE: f64 = 0.2; // a lost answer says less of a build than a failed one
 const SLOW_AT: f64 = 1.6; // times the pace of the earlier build's slower quarter
-const PACED: u32 = 16; // answers that make an appliance's pace
+const PACED: u32 = 12; // answers that make an appliance's pace
 const SETTLED: Duration = ms(6000);
 const HALF_LIFE: f64 = 10.0; // seconds until evidence weighs half
 const KEEP: f64 = 20.0; // outcomes below which a baseline no longer fades
 const BACK_FAILURES: f64 = 6.0;
+const BACK_AFTER: Duration = ms(2000);
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
-const DRAG_AT: f64 = 2.0; // times the pace before the trial
+const DRAG_AT: f64 = 1.5; // times the pace before the trial
 const DRAG_TEST: Duration = ms(3500);
 const TRICKLE: f64 = 0.1; // of a fair share goes to a regressed build, so that it can show otherwise
                           // Health.
@@ -123,7 +124,7 @@
     past: Vec<Count>, // of appliances that have gone
     tally: Vec<Count>,
     newest: Duration,
-    regressed: bool,
+    regressed: Option<Duration>, // since when it has been
 }
 
 /// The test whether a build on trial drags the whole fleet down.
@@ -495,7 +496,7 @@
             past: none.clone(),
             tally: none,
             newest: Duration::ZERO,
-            regressed: false,
+            regressed: None,
         })
     }
 
@@ -530,7 +531,8 @@
     fn judge(&mut self, now: Duration) {
         let Some(n) = self.news.clone() else { return };
         let earlier = self.builds.keys().rev().copied().find(|b| *b < n.build).unwrap_or(0);
-        let was = self.builds.get(&n.build).is_some_and(|b| b.regressed);
+        let since = self.builds.get(&n.build).and_then(|b| b.regressed);
+        let was = since.is_some();
         let newest = self.builds.get(&n.build).map_or(Duration::ZERO, |b| b.newest);
         // Until the build has settled, a hold once placed is kept on half of what placed it.
         let ease = if was && now < newest + SETTLED { 0.5 } else { 1.0 };
@@ -556,10 +558,10 @@
             paces
         };
         let (trial, base) = (paces(n.build), paces(earlier));
-        // Guards against a build that needs more work but fails nothing: all its appliances, two at least, are
+        // Guards against a build that needs more work but fails nothing: all its appliances, three at least, are
         // slower than three quarters of the earlier build's now, so one slowed machine is no slow build.
         let at = SLOW_AT * if was { 0.8 } else { 1.0 };
-        if trial.len() > 1 && base.len() > 2 && trial[0] > at * base[base.len() * 3 / 4].max(1.0) {
+        if trial.len() > 2 && base.len() > 2 && trial[0] > at * base[base.len() * 3 / 4].max(1.0) {
             (why, strength) = (Some("slow on every appliance".into()), BACK_FAILURES);
         }
         let middle = base.get(base.len() / 2).copied().filter(|_| base.len() > 2);
@@ -573,13 +575,14 @@
             None if was => self.notes.push(format!("lift: build {} shows no regression", n.build)),
             _ => {}
         }
-        self.build(n.build).regressed = seen;
+        self.build(n.build).regressed = seen.then_some(since.unwrap_or(now));
         // A hold cannot protect from a released build, nor give back the places of appliances that are gone.
         let running = self.running().count().max(1) as f64;
         let taken = self.running().filter(|(_, a)| a.build == n.build).count() as f64 / running;
         let exposed = n.phase == Phase::Released || self.at.in_place && taken > BACK_SHARE;
+        let lasting = since.is_some_and(|t| now >= t + BACK_AFTER);
         let verdict = match n.phase {
-            Phase::Trial | Phase::Released if seen && exposed && strength >= BACK_FAILURES => {
+            Phase::Trial | Phase::Released if seen && exposed && lasting && strength >= BACK_FAILURES => {
                 Some(Verdict::Back)
             }
             Phase::Trial if seen => Some(Verdict::Hold),
@@ -709,7 +712,7 @@
                 continue;
             }
             let trial = self.on_trial(a.build);
-            let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed);
+            let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed.is_some());
             // The build on trial gets an even share from every zone, a regressed one a trickle.
             let share = match (trial, a.zone == self.at.zone) {
                 (true, _) => fair,
@@ -994,7 +997,7 @@
     // Answers that came and failed; lost ones do not blur this baseline.
     let bad = |c: &Count| c.failed + c.flagged * flag_worth;
     if worse(
-        t.failed + t.flagged,
+        t.failed + t.flagged * 0.6,
         bad(t),
         t.satisfied + t.failed,
         bad(b),
