Try silent appliances again; plain state moved to its own file

Cause: an appliance that lost its last delivery stayed silent for ever, so hung and vanished machines never came back into use.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,6 +5,7 @@
 //! vote, probes and list call now due). Told facts by `take`, `begun`, `left`, `list`, `list_failed`,
 //! `news`, `reply`, `tally`, `flag` and `probed`. Each agent has a `Choice` of its own.
 
+use crate::state::*;
 use crate::types::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -30,13 +31,15 @@
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
 const DRAG_AT: f64 = 1.5; // times the pace before the trial
 const DRAG_TEST: Duration = ms(3500);
-const TRICKLE: f64 = 0.1; // of a fair share goes to a regressed build, so that it can show otherwise
-                          // Health.
+const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
+
+// Health.
 const SURVEY: Duration = ms(100);
 const ASIDE_FIRST: Duration = ms(500);
 const ASIDE_MOST: Duration = ms(4000);
 const SICK_SHARE: f64 = 0.3;
 const SICK_FOR: Duration = ms(8000);
+
 // Load.
 const TARGET: f64 = 0.4; // of the quoted time: a mean answer that keeps nearly all within it
 const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
@@ -45,139 +48,6 @@
 const RETRY_MOST: f64 = 20.0;
 const COME_BACK: Duration = ms(500);
 
-/// Evidence in one lane. Flagged answers are failures; each stands for those that nobody reported.
-#[derive(Clone, Debug, Default)]
-struct Count {
-    satisfied: f64,
-    failed: f64,
-    flagged: f64,
-    lost: f64,
-}
-
-impl Count {
-    /// Fades by `by`, then adds `o`.
-    fn mix(&mut self, by: f64, o: &Count) {
-        self.satisfied = self.satisfied * by + o.satisfied;
-        self.failed = self.failed * by + o.failed;
-        self.flagged = self.flagged * by + o.flagged;
-        self.lost = self.lost * by + o.lost;
-    }
-    fn all(&self) -> f64 {
-        self.satisfied + self.failed + self.lost
-    }
-}
-
-/// A nine-tenths quantile that follows its samples.
-#[derive(Clone, Debug, Default)]
-struct High(f64);
-
-impl High {
-    fn see(&mut self, x: f64) {
-        self.0 = (self.0 * if x > self.0 { 1.135 } else { 0.985 }).clamp(0.001, 1000.0);
-    }
-}
-
-struct Delivery {
-    appliance: usize,
-    build: u32,
-    zone: usize,
-    cell: u64,
-    sent: Duration,
-    out: bool,
-    may_have_run: bool,
-}
-
-struct Open {
-    lane: usize,
-    customer: Option<usize>,
-    key: Option<u64>,
-    expires: Duration,
-    deliveries: Vec<Delivery>,
-    closed: bool,
-}
-
-#[derive(Default)]
-struct Appliance {
-    standing: Standing,
-    zone: usize,
-    cell: u64,
-    build: u32,
-    started: Option<Duration>,
-    cold_since: Option<Duration>,
-    in_flight: usize,
-    unheard: Option<Duration>, // since when it owes a sign of life
-    strikes: u32,              // lost answers in a row
-    aside: Option<Duration>,
-    aside_for: Duration,
-    failing: f64,
-    high: High,
-    weight: f64,
-    counts: Vec<Count>,
-    pace: f64, // mean of late: answer times against those before the trial
-    paced: u32,
-    sends: VecDeque<Duration>,
-}
-
-struct Build {
-    tokens: Vec<f64>,
-    cap: f64,
-    past: Vec<Count>, // of appliances that have gone
-    tally: Vec<Count>,
-    newest: Duration,
-    regressed: Option<Duration>, // since when it has been
-}
-
-/// The test whether a build on trial drags the whole fleet down.
-#[derive(Default)]
-struct Drag {
-    before: f64,
-    worst: f64,
-    until: Option<Duration>,
-    falls: u32,
-}
-
-#[derive(Default)]
-struct LaneView {
-    quoted: f64,
-    benefit: f64,
-    repeats: Repeats,
-    usual: f64,  // seconds of an answer now,
-    least: f64,  // at its lowest of late,
-    before: f64, // before the trial
-    high: High,
-    done: f64,
-    rate: f64,
-}
-
-/// What was read at the start, in the form the decisions use.
-#[derive(Default)]
-struct Bounds {
-    zone: usize,
-    tick: Duration,
-    deliveries: usize,
-    second_copies: bool,
-    withdraw: bool,
-    come_back: Option<Duration>,
-    by_work: bool,
-    crossing: bool, // it costs something
-    watch_most: Option<Duration>,
-    cold_share: f64,
-    cold_for: Duration,
-    fall_for: Duration,
-    shares: Vec<f64>, // of the customers
-    first_cap: f64,
-    free: f64,
-    by_lane: bool,
-    guarded: usize,
-    one_way: bool,
-    votes: bool,
-    in_place: bool,
-    vote_life: Duration,
-    vote_wait: Duration,
-    vote_share: Duration,
-    flag_worth: f64,
-}
-
 /// One agent's decisions.
 #[derive(Default)]
 pub struct Choice {
@@ -213,41 +83,13 @@
 
 impl Choice {
     pub fn new(now: Duration, d: Deployment) -> Choice {
-        let r = d.rollout;
-        let at = Bounds {
-            zone: d.zone,
-            tick: d.tick,
-            deliveries: d.deliveries,
-            second_copies: d.second_copies,
-            withdraw: d.withdraw,
-            come_back: d.come_back.map(|most| most.min(COME_BACK)),
-            by_work: d.benefit_by_work,
-            crossing: d.crossing_price > 0.0,
-            watch_most: d.list_asked.then_some(d.ask_within / 5),
-            cold_share: d.cold_share,
-            cold_for: d.cold_for,
-            fall_for: d.fall_for,
-            shares: d.customers.iter().map(|c| c.share).collect(),
-            first_cap: r.caps.first().copied().unwrap_or(0.0),
-            free: r.free,
-            by_lane: r.by_lane,
-            guarded: r.guarded_stages,
-            one_way: r.one_way,
-            votes: r.by_clock,
-            in_place: r.in_place,
-            vote_life: r.vote_life,
-            vote_wait: r.vote_wait + ms(500),
-            vote_share: Duration::from_secs_f64((f64::from(d.agents) / r.votes_per_s.max(0.1)).min(2.0)),
-            flag_worth: 1.0 / r.flagged_share.clamp(0.1, 1.0),
-        };
         let view = |l: &Lane| {
             let (quoted, usual) = (l.quoted.as_secs_f64(), l.quoted.as_secs_f64() * 0.15);
-            let (high, least, before, benefit, repeats) =
-                (High(usual * 2.0), usual, usual, l.benefit, l.repeats);
+            let (high, least, before, benefit, repeats) = (usual * 2.0, usual, usual, l.benefit, l.repeats);
             LaneView { quoted, benefit, repeats, usual, least, before, high, ..LaneView::default() }
         };
         Choice {
-            at,
+            at: Bounds::of(&d),
             rng: Some(Pcg64Mcg::seed_from_u64(d.seed)),
             lanes: d.lanes.iter().map(view).collect(),
             customer_load: vec![0.0; d.customers.len()],
@@ -269,9 +111,7 @@
         if let Some(l) = c.customer.and_then(|i| self.customer_load.get_mut(i)) {
             *l += 1.0;
         }
-        let (deliveries, expires) = (Vec::new(), now + c.left);
-        let open =
-            Open { lane: c.lane, customer: c.customer, key: c.key, expires, deliveries, closed: false };
+        let open = Open::new(now, &c);
         self.commands.insert(id, open);
     }
 
@@ -308,20 +148,8 @@
             if e.standing != Standing::Running {
                 continue;
             }
-            self.fleet[e.appliance] = Appliance {
-                standing: e.standing,
-                zone: e.zone,
-                cell: e.cell,
-                build: e.build,
-                started: e.started,
-                cold_since: e.started.filter(|s| *s + self.at.cold_for > now),
-                in_flight,
-                aside_for: ASIDE_FIRST,
-                high: High(2.0),
-                weight: 1.0,
-                counts: vec![Count::default(); self.lanes.len()],
-                ..Appliance::default()
-            };
+            let cold = e.started.filter(|s| *s + self.at.cold_for > now);
+            self.fleet[e.appliance] = Appliance::listed(e, self.lanes.len(), in_flight, cold);
             let b = self.build(e.build);
             b.newest = b.newest.max(e.started.unwrap_or_default());
         }
@@ -330,7 +158,7 @@
 
     /// A list call failed, or the watch broke: ask again, less and less often.
     pub fn list_failed(&mut self, now: Duration) {
-        if let Some(most) = self.at.watch_most {
+        if let Some(most) = self.at.ask_within.map(|t| t / 5) {
             self.watch_at = Some(now + self.watch_gap.mul_f64(0.7 + 0.6 * self.chance()));
             self.watch_gap = (self.watch_gap * 2).clamp(GAP, most.max(GAP));
         }
@@ -373,7 +201,7 @@
             }
             _ => {}
         }
-        self.vote_at = now + self.vote_gap.max(self.at.vote_share);
+        self.vote_at = now + self.vote_gap.max(Duration::from_secs_f64(self.at.vote_share.min(2.0)));
     }
 
     /// The platform's sampled count of a build in a lane. It does not tell failed answers from lost ones.
@@ -488,16 +316,8 @@
     // ---- builds, exposure, votes ----
 
     fn build(&mut self, number: u32) -> &mut Build {
-        let none = vec![Count::default(); self.lanes.len()];
-        let tokens = vec![self.at.free; if self.at.by_lane { self.lanes.len() } else { 1 }];
-        self.builds.entry(number).or_insert_with(|| Build {
-            tokens,
-            cap: 0.0,
-            past: none.clone(),
-            tally: none,
-            newest: Duration::ZERO,
-            regressed: None,
-        })
+        let (lanes, slots) = (self.lanes.len(), if self.at.by_lane { self.lanes.len() } else { 1 });
+        self.builds.entry(number).or_insert_with(|| Build::new(lanes, slots, self.at.free))
     }
 
     fn on_trial(&self, build: u32) -> bool {
@@ -544,7 +364,7 @@
                 continue;
             }
             for (lane, (t, b)) in t.iter().zip(&b).enumerate() {
-                let what = regressed(t, b, self.at.flag_worth, ease);
+                let what = regressed(t, b, 1.0 / self.at.flagged_share.clamp(0.1, 1.0), ease);
                 if let Some(what) = what.filter(|_| t.flagged >= LEAST_FAILURES || self.widespread(n.build)) {
                     strength = strength.max(t.failed + t.flagged + t.lost);
                     why = Some(format!("lane {lane} {what}, trial {t:.0?}, earlier {b:.0?}"));
@@ -558,16 +378,16 @@
             paces
         };
         let (trial, base) = (paces(n.build), paces(earlier));
-        // Guards against a build that needs more work but fails nothing: all its appliances, three at least, are
-        // slower than three quarters of the earlier build's now, so one slowed machine is no slow build.
+        // Guards against a build that needs more work but fails nothing: all its appliances, three at least,
+        // are slower than three quarters of the earlier build's now: one slowed machine is no slow build.
         let at = SLOW_AT * if was { 0.8 } else { 1.0 };
         if trial.len() > 2 && base.len() > 2 && trial[0] > at * base[base.len() * 3 / 4].max(1.0) {
             (why, strength) = (Some("slow on every appliance".into()), BACK_FAILURES);
         }
         let middle = base.get(base.len() / 2).copied().filter(|_| base.len() > 2);
         if n.phase == Phase::Trial && !self.at.in_place && self.drags(now, n.build, middle) {
-            (why, strength) =
-                (Some("the fleet slows with it".into()), strength.max(f64::from(self.drag.falls) * 3.0));
+            strength = strength.max(f64::from(self.drag.falls) * LEAST_FAILURES);
+            why = Some("the fleet slows with it".into());
         }
         let seen = why.is_some();
         match why {
@@ -604,15 +424,10 @@
             }
             if d.until.take_if(|t| now >= *t).is_some() {
                 let recovered = pace < d.before + (d.worst - d.before) * 0.4;
-                self.notes.push(format!(
-                    "drag test ends: pace {pace:.2}, before {:.2}, worst {:.2}",
-                    d.before, d.worst
-                ));
                 d.falls = if recovered { d.falls + 1 } else { 0 };
                 d.before = if recovered { d.before } else { pace };
             } else if d.until.is_none() && started && d.falls < 2 && pace > d.before * DRAG_AT {
                 d.worst = pace;
-                self.notes.push(format!("drag test: pace {pace:.2}, before {:.2}", d.before));
                 d.until = Some(now + DRAG_TEST);
             }
         }
@@ -643,7 +458,7 @@
 
     fn vote(&mut self, now: Duration) -> Option<Vote> {
         if let Some((_, sent)) = self.pending {
-            if now < sent + self.at.vote_wait {
+            if now < sent + self.at.vote_wait + GAP * 2 {
                 return None;
             }
             self.reply(now, Reply::Unknown);
@@ -768,7 +583,7 @@
 
     /// How long an appliance may say nothing at all before it counts as silent.
     fn patience(&self) -> Duration {
-        let high = self.lanes.iter().map(|l| l.high.0.max(l.usual * 2.3)).fold(0.0, f64::max);
+        let high = self.lanes.iter().map(|l| l.high.max(l.usual * 2.3)).fold(0.0, f64::max);
         Duration::from_secs_f64((high * 2.0).clamp(0.1, 3.0))
     }
 
@@ -785,16 +600,8 @@
         let soon = Duration::from_secs_f64((lane.usual * 6.0).max(lane.quoted * 0.8));
         let time_out = if again && !self.at.withdraw { soon.min(left) } else { left };
         let look = (again && self.at.withdraw).then_some(now + patience).filter(|t| *t < c.expires);
-        let (zone, cell, build) = (a.zone, a.cell, a.build);
-        c.deliveries.push(Delivery {
-            appliance: i,
-            build,
-            zone,
-            cell,
-            sent: now,
-            out: true,
-            may_have_run: false,
-        });
+        let build = a.build;
+        c.deliveries.push(Delivery::to(i, a, now));
         a.in_flight += 1;
         a.unheard.get_or_insert(now);
         let old = now.saturating_sub(self.at.fall_for);
@@ -831,7 +638,7 @@
                     // Back from silence: it may be a restart that the list has not told yet.
                     a.cold_since = Some(now);
                 }
-                a.unheard = (a.in_flight > 0).then_some(now);
+                a.unheard = Some(now);
                 a.strikes = 0;
             }
             Outcome::TimedOut | Outcome::Withdrawn if !mute => {}
@@ -839,13 +646,15 @@
             _ => {
                 a.strikes += 1;
                 a.counts[lane].lost += 1.0;
-                a.high.see((took / l.usual).max(2.0));
+                follow(&mut a.high, (took / l.usual).max(2.0));
                 lost |= a.strikes > 1;
             }
         }
+        // Nothing out, nothing owed: after its rest one command tries whether it is back.
+        a.unheard = a.unheard.filter(|_| a.in_flight > 0);
         if matches!(end.outcome, Outcome::Satisfied | Outcome::Failed) {
             l.done += 1.0;
-            l.high.see(took);
+            follow(&mut l.high, took);
         }
         if end.outcome == Outcome::Failed {
             a.failing += 0.15 * (1.0 - a.failing);
@@ -862,7 +671,7 @@
             a.counts[lane].satisfied += 1.0;
             a.failing *= 0.85;
             let x = (took / l.usual).min(10.0);
-            a.high.see(x);
+            follow(&mut a.high, x);
             if a.cold_since.is_none() {
                 a.paced = (a.paced + 1).min(PACED);
                 a.pace += ((took / l.before).min(10.0) - a.pace) / f64::from(a.paced);
@@ -884,8 +693,8 @@
             if a.aside.is_none() {
                 self.notes.push(format!("set aside: appliance {i}, build {build}, after {:?}", end.outcome));
             }
-            a.aside = Some(now + a.aside_for);
-            a.aside_for = (a.aside_for * 2).min(ASIDE_MOST);
+            a.aside = Some(now + a.aside_for.max(ASIDE_FIRST));
+            a.aside_for = (a.aside_for * 2).clamp(ASIDE_FIRST * 2, ASIDE_MOST);
         }
     }
 
@@ -899,7 +708,7 @@
             }
         };
         let warm = self.running().filter(|(_, a)| a.cold_since.is_none());
-        let mut highs: Vec<f64> = warm.map(|(_, a)| a.high.0).collect();
+        let mut highs: Vec<f64> = warm.map(|(_, a)| a.high).collect();
         highs.sort_by(f64::total_cmp);
         let median = highs.get(highs.len() / 2).copied().unwrap_or(2.0);
         for a in &mut self.fleet {
@@ -908,7 +717,7 @@
                 a.sends.clear();
             }
             // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
-            let pace = (a.high.0 / median).max(0.3);
+            let pace = (a.high / median).max(0.3);
             a.weight = if pace < 1.5 { pace.powf(-0.5) } else { 1.5f64.powf(1.5) * pace.powi(-2) };
             old(&mut a.counts);
         }
@@ -917,10 +726,8 @@
             old(&mut b.tally);
         }
         self.customer_load.iter_mut().for_each(|l| *l *= 0.98);
-        if self.at.crossing {
-            let by = if self.near > self.far * 1.2 { 1.1 } else { 0.95 };
-            self.abroad = (self.abroad * by).clamp(0.03, 1.0);
-        }
+        let by = if self.near > self.far * 1.2 { 1.1 } else { 0.95 };
+        self.abroad = if self.at.crossing { (self.abroad * by).clamp(0.03, 1.0) } else { 1.0 };
         // What may be in flight: the answers that come, times the mean answer time that is still good. Below
         // it, answers grow with what is sent; above it, only the waiting does. Quick answers need no limit.
         let gain = SURVEY.as_secs_f64() / RATE_OVER;
@@ -966,7 +773,7 @@
         };
         self.close(id);
         if harmless {
-            Answer::Deny { come_back: self.at.come_back }
+            Answer::Deny { come_back: self.at.come_back.map(|most| most.min(COME_BACK)) }
         } else {
             Answer::Scrap
         }
@@ -988,24 +795,19 @@
 
 /// Whether the build on trial regressed a lane that the earlier build satisfies.
 fn regressed(t: &Count, b: &Count, flag_worth: f64, ease: f64) -> Option<&'static str> {
-    let worse = |seen: f64, bad: f64, of: f64, base_bad: f64, base_of: f64, share: f64| {
-        seen >= LEAST_FAILURES * ease
-            && bad > share * ease * of
-            && base_of >= 1.0
-            && base_bad < share * base_of
+    let worse = |seen: f64, t: (f64, f64), b: (f64, f64), share: f64| {
+        seen >= LEAST_FAILURES * ease && t.0 > share * ease * t.1 && b.1 >= 1.0 && b.0 < share * b.1
     };
     // Answers that came and failed; lost ones do not blur this baseline.
-    let bad = |c: &Count| c.failed + c.flagged * flag_worth;
-    if worse(
-        t.failed + t.flagged * 0.6,
-        bad(t),
-        t.satisfied + t.failed,
-        bad(b),
-        b.satisfied + b.failed,
-        FAILED_SHARE,
-    ) {
+    let came = |c: &Count| (c.failed + c.flagged * flag_worth, c.satisfied + c.failed);
+    if worse(t.failed + t.flagged * 0.6, came(t), came(b), FAILED_SHARE) {
         return Some("failed");
     }
-    let lost = |c: &Count| c.failed + c.lost;
-    worse(lost(t) / 2.0, lost(t), t.all(), lost(b), b.all(), LOST_SHARE).then_some("lost")
+    let all = |c: &Count| (c.failed + c.lost, c.all());
+    worse(all(t).0 / 2.0, all(t), all(b), LOST_SHARE).then_some("lost")
+}
+
+/// Moves a nine-tenths quantile towards a sample.
+fn follow(high: &mut f64, x: f64) {
+    *high = (*high * if x > *high { 1.135 } else { 0.985 }).clamp(0.001, 1000.0);
 }
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,201 @@
+//! What a [`Choice`](crate::Choice) remembers, grouped by how long it lives: one delivery, one command, one
+//! appliance, one build, the instance. Plain data; every decision on it is in `choice.rs`.
+
+use crate::types::*;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Evidence in one lane. Flagged answers are failures; each stands for those that nobody reported.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Count {
+    pub satisfied: f64,
+    pub failed: f64,
+    pub flagged: f64,
+    pub lost: f64,
+}
+
+impl Count {
+    /// Fades by `by`, then adds `o`.
+    pub fn mix(&mut self, by: f64, o: &Count) {
+        self.satisfied = self.satisfied * by + o.satisfied;
+        self.failed = self.failed * by + o.failed;
+        self.flagged = self.flagged * by + o.flagged;
+        self.lost = self.lost * by + o.lost;
+    }
+    pub fn all(&self) -> f64 {
+        self.satisfied + self.failed + self.lost
+    }
+}
+
+pub(crate) struct Delivery {
+    pub appliance: usize,
+    pub build: u32,
+    pub zone: usize,
+    pub cell: u64,
+    pub sent: Duration,
+    pub out: bool,
+    pub may_have_run: bool,
+}
+
+pub(crate) struct Open {
+    pub lane: usize,
+    pub customer: Option<usize>,
+    pub key: Option<u64>,
+    pub expires: Duration,
+    pub deliveries: Vec<Delivery>,
+    pub closed: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Appliance {
+    pub standing: Standing,
+    pub zone: usize,
+    pub cell: u64,
+    pub build: u32,
+    pub started: Option<Duration>,
+    pub cold_since: Option<Duration>,
+    pub in_flight: usize,
+    pub unheard: Option<Duration>, // since when it owes a sign of life
+    pub strikes: u32,              // lost answers in a row
+    pub aside: Option<Duration>,
+    pub aside_for: Duration,
+    pub failing: f64,
+    pub high: f64, // a high quantile of its answer times
+    pub weight: f64,
+    pub counts: Vec<Count>,
+    pub pace: f64, // mean of late: answer times against those before the trial
+    pub paced: u32,
+    pub sends: VecDeque<Duration>,
+}
+
+#[derive(Default)]
+pub(crate) struct Build {
+    pub tokens: Vec<f64>,
+    pub cap: f64,
+    pub past: Vec<Count>, // of appliances that have gone
+    pub tally: Vec<Count>,
+    pub newest: Duration,
+    pub regressed: Option<Duration>, // since when it has been
+}
+
+/// The test whether a build on trial drags the whole fleet down.
+#[derive(Default)]
+pub(crate) struct Drag {
+    pub before: f64,
+    pub worst: f64,
+    pub until: Option<Duration>,
+    pub falls: u32,
+}
+
+#[derive(Default)]
+pub(crate) struct LaneView {
+    pub quoted: f64,
+    pub benefit: f64,
+    pub repeats: Repeats,
+    pub usual: f64,  // seconds of an answer now,
+    pub least: f64,  // at its lowest of late,
+    pub before: f64, // before the trial
+    pub high: f64,
+    pub done: f64,
+    pub rate: f64,
+}
+
+/// What was read at the start, in the form the decisions use.
+#[derive(Default)]
+pub(crate) struct Bounds {
+    pub zone: usize,
+    pub tick: Duration,
+    pub deliveries: usize,
+    pub second_copies: bool,
+    pub withdraw: bool,
+    pub come_back: Option<Duration>,
+    pub by_work: bool,
+    pub crossing: bool,               // it costs something
+    pub ask_within: Option<Duration>, // where the list must be asked
+    pub cold_share: f64,
+    pub cold_for: Duration,
+    pub fall_for: Duration,
+    pub shares: Vec<f64>, // of the customers
+    pub first_cap: f64,
+    pub free: f64,
+    pub by_lane: bool,
+    pub guarded: usize,
+    pub one_way: bool,
+    pub votes: bool,
+    pub in_place: bool,
+    pub vote_life: Duration,
+    pub vote_wait: Duration,
+    pub vote_share: f64, // seconds between votes that leave the others theirs
+    pub flagged_share: f64,
+}
+
+impl Bounds {
+    pub fn of(d: &Deployment) -> Bounds {
+        let r = &d.rollout;
+        Bounds {
+            zone: d.zone,
+            tick: d.tick,
+            deliveries: d.deliveries,
+            second_copies: d.second_copies,
+            withdraw: d.withdraw,
+            come_back: d.come_back,
+            by_work: d.benefit_by_work,
+            crossing: d.crossing_price > 0.0,
+            ask_within: d.list_asked.then_some(d.ask_within),
+            cold_share: d.cold_share,
+            cold_for: d.cold_for,
+            fall_for: d.fall_for,
+            shares: d.customers.iter().map(|c| c.share).collect(),
+            first_cap: r.caps.first().copied().unwrap_or(0.0),
+            free: r.free,
+            by_lane: r.by_lane,
+            guarded: r.guarded_stages,
+            one_way: r.one_way,
+            votes: r.by_clock,
+            in_place: r.in_place,
+            vote_life: r.vote_life,
+            vote_wait: r.vote_wait,
+            vote_share: f64::from(d.agents) / r.votes_per_s.max(0.001),
+            flagged_share: r.flagged_share,
+        }
+    }
+}
+
+impl Delivery {
+    pub fn to(appliance: usize, a: &Appliance, sent: Duration) -> Delivery {
+        let (build, zone, cell) = (a.build, a.zone, a.cell);
+        Delivery { appliance, build, zone, cell, sent, out: true, may_have_run: false }
+    }
+}
+
+impl Open {
+    pub fn new(now: Duration, c: &Command) -> Open {
+        let (lane, customer, key) = (c.lane, c.customer, c.key);
+        Open { lane, customer, key, expires: now + c.left, deliveries: Vec::new(), closed: false }
+    }
+}
+
+impl Appliance {
+    pub fn listed(e: &Listed, lanes: usize, in_flight: usize, cold_since: Option<Duration>) -> Appliance {
+        Appliance {
+            standing: e.standing,
+            zone: e.zone,
+            cell: e.cell,
+            build: e.build,
+            started: e.started,
+            cold_since,
+            in_flight,
+            high: 1.0,
+            weight: 1.0,
+            counts: vec![Count::default(); lanes],
+            ..Appliance::default()
+        }
+    }
+}
+
+impl Build {
+    pub fn new(lanes: usize, slots: usize, free: f64) -> Build {
+        let none = vec![Count::default(); lanes];
+        Build { tokens: vec![free; slots], past: none.clone(), tally: none, ..Build::default() }
+    }
+}
