Fellows by build, trial heard before it rests, its evidence fades; rules and plain cases tested

Cause: a build that fails everything was set aside before it could be judged; its evidence never faded; a slow build was avoided and so never seen.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,6 +37,7 @@
 const SURVEY: Duration = ms(100);
 const ASIDE_FIRST: Duration = ms(500);
 const ASIDE_MOST: Duration = ms(4000);
+const FORGIVE: f64 = 0.01; // each survey, of what sets an appliance off from its fellows
 const SICK_SHARE: f64 = 0.3;
 const SICK_FOR: Duration = ms(8000);
 
@@ -510,9 +511,9 @@
         let floor = kept.map_or(0, |n| n.build);
         let since = now.saturating_sub(self.at.fall_for);
         let count = |of: &dyn Fn(&Appliance) -> bool| self.running().filter(|(_, a)| of(a)).count() as f64;
-        let warm = count(&|a| a.cold_since.is_none()).max(1.0);
-        let carried = self.warm_sends.iter().filter(|t| **t > since).count() as f64 / warm;
         let (near, all) = (count(&|a| a.zone == self.at.zone), count(&|_| true).max(1.0));
+        let warm = count(&|a| a.cold_since.is_none()).max(all / 2.0);
+        let carried = self.warm_sends.iter().filter(|t| **t > since).count() as f64 / warm;
         let fair = (near + (all - near) * self.abroad) / all;
         let mut pool: [Vec<(usize, f64, f64)>; 3] = Default::default();
         for (i, a) in self.running() {
@@ -547,7 +548,7 @@
             } else {
                 0
             };
-            pool[rank].push((i, draw, (a.in_flight as f64 + 1.0) / (a.weight * ramp)));
+            pool[rank].push((i, draw, a.in_flight as f64 / (a.weight * ramp)));
         }
         let fit = pool.iter().find(|p| !p.is_empty())?;
         let total: f64 = fit.iter().map(|c| c.1).sum();
@@ -646,7 +647,6 @@
             _ => {
                 a.strikes += 1;
                 a.counts[lane].lost += 1.0;
-                follow(&mut a.high, (took / l.usual).max(2.0));
                 lost |= a.strikes > 1;
             }
         }
@@ -689,7 +689,9 @@
                 self.notes.push(format!("taken back: appliance {i}"));
             }
         }
-        if (lost || a.failing > SICK_SHARE) && a.aside.is_none_or(|t| now >= t) {
+        // A build on trial must be heard before its appliances rest, or it would never be judged.
+        let heard = !newest || a.counts.iter().map(Count::all).sum::<f64>() >= LEAST_OUTCOMES;
+        if (lost || heard && a.failing > SICK_SHARE) && a.aside.is_none_or(|t| now >= t) {
             if a.aside.is_none() {
                 self.notes.push(format!("set aside: appliance {i}, build {build}, after {:?}", end.outcome));
             }
@@ -702,28 +704,36 @@
     fn survey(&mut self, now: Duration) {
         let fade = 0.5f64.powf(SURVEY.as_secs_f64() / HALF_LIFE);
         let none = Count::default();
-        let old = |counts: &mut Vec<Count>| {
-            if counts.iter().map(Count::all).sum::<f64>() > KEEP {
+        let trial = self.news.as_ref().map_or(0, |n| n.build);
+        let old = |counts: &mut Vec<Count>, build: u32| {
+            if build >= trial || counts.iter().map(Count::all).sum::<f64>() > KEEP {
                 counts.iter_mut().for_each(|c| c.mix(fade, &none));
             }
         };
-        let warm = self.running().filter(|(_, a)| a.cold_since.is_none());
-        let mut highs: Vec<f64> = warm.map(|(_, a)| a.high).collect();
-        highs.sort_by(f64::total_cmp);
-        let median = highs.get(highs.len() / 2).copied().unwrap_or(2.0);
+        let median = |of: &dyn Fn(u32) -> bool| {
+            let warm = self.running().filter(|(_, a)| a.cold_since.is_none() && of(a.build));
+            let mut highs: Vec<f64> = warm.map(|(_, a)| a.high).collect();
+            highs.sort_by(f64::total_cmp);
+            highs.get(highs.len() / 2).copied().filter(|_| highs.len() > 2)
+        };
+        // Its fellows are those of its side, so that a slow build is seen and not only avoided.
+        let all = median(&|_| true).unwrap_or(1.0);
+        let fellows = [median(&|b| b < trial).unwrap_or(all), median(&|b| b >= trial).unwrap_or(all)];
         for a in &mut self.fleet {
             if a.cold_since.is_some_and(|t| now >= t + self.at.cold_for) {
                 a.cold_since = None;
                 a.sends.clear();
             }
+            let median = fellows[usize::from(a.build >= trial)];
             // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
             let pace = (a.high / median).max(0.3);
             a.weight = if pace < 1.5 { pace.powf(-0.5) } else { 1.5f64.powf(1.5) * pace.powi(-2) };
-            old(&mut a.counts);
+            a.high += (median - a.high) * FORGIVE;
+            old(&mut a.counts, a.build);
         }
-        for b in self.builds.values_mut() {
-            old(&mut b.past);
-            old(&mut b.tally);
+        for (number, b) in &mut self.builds {
+            old(&mut b.past, *number);
+            old(&mut b.tally, *number);
         }
         self.customer_load.iter_mut().for_each(|l| *l *= 0.98);
         let by = if self.near > self.far * 1.2 { 1.1 } else { 0.95 };
--- /dev/null
+++ b/tests/plain.rs
@@ -0,0 +1,283 @@
+//! Plain cases: the mechanism step by step, and a small one for each failure that was found.
+
+mod world;
+
+use tulipwall::*;
+use world::*;
+
+/// Eight appliances of build 7 that have answered, and two of build 8 on trial, warm.
+fn rollout(change: fn(&mut Deployment)) -> World {
+    let mut d = deployment(11);
+    change(&mut d);
+    let mut w = World::new(d);
+    w.list(&(0..8).map(|i| listed(i, 7, None)).collect::<Vec<_>>());
+    w.news(News { phase: Phase::Released, ..trial(7, 0, 1.0) });
+    w.serve(60, 0, ms(20), |_| Outcome::Satisfied);
+    w.news(trial(8, 0, 0.5));
+    w.list(&[listed(8, 8, Some(1100)), listed(9, 8, Some(1100))]);
+    w.pass(ms(4200));
+    w
+}
+
+fn failing(build: u32) -> impl Fn(&Listed) -> Outcome {
+    move |e| if e.build == build { Outcome::Failed } else { Outcome::Satisfied }
+}
+
+fn got(w: &World, build: u32) -> usize {
+    w.sends.iter().filter(|(_, i)| w.list[i].build == build).count()
+}
+
+#[test]
+fn a_lane_that_only_the_trial_fails_is_held_renewed_and_lifted() {
+    let mut w = rollout(|_| {});
+    w.serve(150, 0, ms(20), failing(8));
+    assert_eq!(w.last_vote(), Some(Verdict::Hold), "{:?}", w.notes);
+    assert_eq!(w.votes.last().map(|v| (v.1.build, v.1.stage)), Some((8, 0)));
+    let first = w.votes.len();
+    w.choice.reply(w.now, Reply::Counted);
+    w.serve(150, 0, ms(20), failing(8));
+    assert!(w.votes.len() > first, "renewed before its life is over");
+    w.choice.reply(w.now, Reply::Counted);
+    w.serve(1200, 0, ms(20), |_| Outcome::Satisfied);
+    assert_eq!(w.last_vote(), Some(Verdict::None), "lifted once nothing shows");
+}
+
+#[test]
+fn a_lane_that_the_earlier_build_also_fails_does_not_gate() {
+    let mut w = rollout(|_| {});
+    let flip = std::cell::Cell::new(0);
+    w.serve(300, 0, ms(20), |_| {
+        flip.set(flip.get() + 1);
+        if flip.get() % 5 == 0 {
+            Outcome::Failed
+        } else {
+            Outcome::Satisfied
+        }
+    });
+    assert!(w.votes.is_empty(), "{:?}", w.notes);
+}
+
+#[test]
+fn a_lane_without_baseline_does_not_gate() {
+    let mut w = rollout(|_| {});
+    w.serve(120, 2, ms(20), |_| Outcome::Failed);
+    assert!(w.votes.is_empty(), "{:?}", w.notes);
+}
+
+#[test]
+fn few_outcomes_of_the_trial_hold_nothing() {
+    let mut w = rollout(|_| {});
+    let before = got(&w, 8);
+    while got(&w, 8) < before + 9 {
+        w.serve(1, 0, ms(20), failing(8));
+    }
+    assert!(w.votes.is_empty(), "{:?}", w.notes);
+}
+
+#[test]
+fn a_released_build_is_not_refused_and_is_sent_back_only_after_the_release() {
+    let mut w = rollout(|_| {});
+    w.serve(150, 0, ms(20), failing(8));
+    assert!(w.votes.iter().all(|v| v.1.verdict == Verdict::Hold), "a hold protects while it is on trial");
+    w.choice.reply(w.now, Reply::Counted);
+    w.news(News { phase: Phase::Released, ..trial(8, 2, 1.0) });
+    let before = got(&w, 8);
+    w.serve(200, 0, ms(20), failing(8));
+    assert!(got(&w, 8) > before);
+    assert_eq!(w.last_vote(), Some(Verdict::Back));
+}
+
+#[test]
+fn a_regressed_build_gets_a_trickle() {
+    let mut w = rollout(|_| {});
+    w.serve(150, 0, ms(20), failing(8));
+    let (before, all) = (got(&w, 8), w.sends.len());
+    w.serve(200, 0, ms(20), failing(8));
+    assert!((got(&w, 8) - before) * 10 < w.sends.len() - all);
+}
+
+#[test]
+fn one_sick_machine_of_several_says_nothing_of_its_build() {
+    let mut w = rollout(|_| {});
+    w.list(&[listed(10, 8, Some(1100))]);
+    w.serve(300, 0, ms(20), |e| if e.appliance == 8 { Outcome::Failed } else { Outcome::Satisfied });
+    assert!(w.votes.is_empty(), "{:?}", w.notes);
+}
+
+#[test]
+fn flagged_answers_are_failures() {
+    let mut w = rollout(|_| {});
+    w.serve(100, 0, ms(20), |_| Outcome::Satisfied);
+    for i in 0..6 {
+        w.choice.flag(w.now, 8 + i % 2, 0, ms(50));
+    }
+    w.pass(ms(300));
+    assert_eq!(w.last_vote(), Some(Verdict::Hold), "{:?}", w.notes);
+}
+
+#[test]
+fn the_platforms_count_serves_lanes_too_rare_here() {
+    let mut w = rollout(|_| {});
+    w.choice.tally(Tally { build: 7, lane: 2, deliveries: 80.0, failed: 1.0 });
+    w.choice.tally(Tally { build: 8, lane: 2, deliveries: 30.0, failed: 12.0 });
+    w.pass(ms(300));
+    assert_eq!(w.last_vote(), Some(Verdict::Hold), "{:?}", w.notes);
+}
+
+#[test]
+fn lost_answers_of_a_sick_machine_do_not_erase_the_baseline() {
+    let mut w = rollout(|_| {});
+    for _ in 0..20 {
+        w.serve(5, 0, ms(20), |e| match e {
+            e if e.build == 8 => Outcome::Failed,
+            e if e.appliance < 3 => Outcome::Broken,
+            _ => Outcome::Satisfied,
+        });
+    }
+    assert_eq!(w.last_vote(), Some(Verdict::Hold), "{:?}", w.notes);
+}
+
+#[test]
+fn a_slow_build_is_held_and_one_slow_machine_is_not() {
+    for (slow, held) in [(8..11, true), (8..9, false)] {
+        let mut w = rollout(|d| d.rollout.caps[0] = 1.0);
+        w.news(trial(8, 0, 1.0));
+        w.list(&[listed(10, 8, Some(1100))]);
+        for _ in 0..500 {
+            let id = w.held.len() as u64;
+            if let Answer::Send { appliance, .. } = w.take(id, 0, ms(1500)) {
+                w.pass(if slow.contains(&appliance) { ms(70) } else { ms(25) });
+                w.end(id, 0, Outcome::Satisfied);
+            }
+        }
+        assert_eq!(!w.votes.is_empty(), held, "{:?}", w.notes);
+    }
+}
+
+#[test]
+fn a_vote_that_may_not_count_is_cast_again_and_refusals_back_off() {
+    let mut w = rollout(|_| {});
+    w.serve(200, 0, ms(20), failing(8));
+    let first = w.votes.len();
+    assert!(first > 0 && w.choice.wait(w.now).vote.is_none(), "one at a time");
+    w.choice.reply(w.now, Reply::Unknown);
+    w.serve(60, 0, ms(20), failing(8));
+    assert!(w.votes.len() > first);
+    for n in 3..6 {
+        let (votes, n) = (w.votes.len(), n);
+        w.choice.reply(w.now, Reply::Refused);
+        let from = w.now;
+        while w.votes.len() == votes {
+            w.serve(1, 0, ms(20), failing(8));
+        }
+        assert!(w.now - from >= ms(250 << (n - 2)).min(ms(2000)));
+    }
+}
+
+#[test]
+fn a_vote_forgotten_in_a_restart_is_taken_away() {
+    let mut w = World::new(deployment(5));
+    w.list(&[listed(0, 7, None), listed(1, 8, None)]);
+    w.news(trial(8, 1, 0.5));
+    w.pass(ms(200));
+    assert_eq!(w.last_vote(), Some(Verdict::None));
+}
+
+#[test]
+fn where_places_are_taken_a_lasting_regression_is_sent_back() {
+    let mut w = rollout(|d| d.rollout.in_place = true);
+    w.list(&(0..4).map(|i| Listed { standing: Standing::Gone, ..listed(i, 7, None) }).collect::<Vec<_>>());
+    w.serve(250, 0, ms(20), failing(8));
+    w.choice.reply(w.now, Reply::Counted);
+    w.serve(50, 0, ms(20), failing(8));
+    assert_eq!(w.last_vote(), Some(Verdict::Back));
+}
+
+#[test]
+fn an_unannounced_build_counts_as_in_the_first_stage_and_cap_zero_closes() {
+    let mut w = rollout(|_| {});
+    w.news(News { phase: Phase::Released, ..trial(8, 2, 1.0) });
+    w.list(&[listed(10, 9, None)]);
+    w.serve(100, 0, ms(20), |_| Outcome::Satisfied);
+    let before = got(&w, 9);
+    assert!(before > 0);
+    w.news(News { phase: Phase::GoingBack, ..trial(9, 0, 0.0) });
+    w.serve(60, 0, ms(20), |_| Outcome::Satisfied);
+    assert_eq!(got(&w, 9), before);
+}
+
+#[test]
+fn an_unrepeatable_command_is_sent_again_only_if_it_never_ran() {
+    let mut w = rollout(|_| {});
+    for (id, outcome, sends) in [(900, Outcome::TurnedAway, 2), (901, Outcome::Broken, 1)] {
+        w.take(id, 2, ms(1500));
+        w.end(id, 0, outcome);
+        assert_eq!(w.held[&id].deliveries.len(), sends);
+    }
+    assert_eq!(w.held[&901].answers, [Answer::Scrap], "given up at once");
+}
+
+#[test]
+fn a_silent_appliance_is_left_and_tried_again_after_its_rest() {
+    let mut w = rollout(|_| {});
+    let silent = 3;
+    let mut saved = 0;
+    for id in 1000..1120 {
+        w.take(id, 0, ms(1500));
+        w.pass(ms(20));
+        for n in 0..w.held[&id].deliveries.len() {
+            let d = &w.held[&id].deliveries[n];
+            if d.ended.is_none() && d.appliance != silent {
+                w.end(id, n, Outcome::Satisfied);
+            }
+        }
+    }
+    w.pass(ms(2000));
+    for h in w.held.values().filter(|h| h.deliveries.iter().any(|d| d.appliance == silent)) {
+        saved += usize::from(h.deliveries.len() > 1);
+    }
+    assert!(saved > 0, "what it held went elsewhere");
+    let before = w.sends.iter().filter(|s| s.1 == silent).count();
+    assert!(before < 12, "{before} to a silent appliance");
+    w.serve(600, 0, ms(20), |_| Outcome::Satisfied);
+    assert!(w.sends.iter().filter(|s| s.1 == silent).count() > before + 20, "back in use");
+}
+
+#[test]
+fn under_overload_what_is_worth_least_is_denied_at_once_with_a_time_to_come_back() {
+    let mut w = World::new(Deployment { benefit_by_work: true, customers: Vec::new(), ..deployment(2) });
+    w.list(&(0..4).map(|i| listed(i, 7, None)).collect::<Vec<_>>());
+    for id in 0..900 {
+        w.take(id, [0, 2][id as usize % 2], ms(3000));
+        w.pass(ms(5));
+        if id % 4 == 0 {
+            let oldest = w.held.iter().find(|h| h.1.deliveries.iter().any(|d| d.ended.is_none()));
+            let (id, h) = oldest.unwrap();
+            let (id, n) = (*id, h.deliveries.iter().position(|d| d.ended.is_none()).unwrap());
+            w.end(id, n, Outcome::Satisfied);
+        }
+    }
+    let denied = |lane| {
+        let of = w.held.values().filter(|h| h.lane == lane);
+        of.filter(|h| matches!(h.answers[..], [Answer::Deny { come_back: Some(_) }])).count()
+    };
+    assert!(denied(0) > denied(2) && denied(0) > 100, "{} {}", denied(0), denied(2));
+    assert!(w
+        .held
+        .values()
+        .all(|h| h.deliveries.is_empty() || !matches!(h.answers[..], [Answer::Deny { .. }])));
+}
+
+#[test]
+fn a_failing_list_is_asked_less_and_less_often_but_always_again() {
+    let mut d = deployment(3);
+    d.list_asked = true;
+    let mut w = World::new(d);
+    w.pass(ms(50));
+    assert_eq!(w.watches, 1);
+    for n in 2..8 {
+        w.choice.list_failed(w.now);
+        w.pass(ms(2700));
+        assert_eq!(w.watches, n);
+    }
+}
