--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -109,7 +109,6 @@
             benefit_by_work: s.maybe("value-by").and_then(Value::as_str) == Some("work"),
             list_asked: s.text("discovery")? == "ask",
             ask_within: rules.span_or("must-ask-in-ms", 10_000.0)?,
-            probes: limits.flag("probes")?,
             second_copies: limits.flag("second-copies")?,
             withdraw: limits.flag("cancel")?,
             come_back,
@@ -215,11 +214,6 @@
                     }
                 }
             }
-            "ProbeDone" => {
-                let well = item.text("state-code")? == "success";
-                let appliance = self.appliances.number(item.text("appliance")?);
-                self.choice.probed(now, appliance, well);
-            }
             "Promotion" => self.promotion(now, item)?,
             "PeriodSums" => {
                 let class = item.text("tier-class")?;
@@ -235,7 +229,7 @@
                     self.choice.flag(now, appliance, lane, item.span_or("lateness-ms", 0.0)?);
                 }
             }
-            "PeerData" => {}
+            "ProbeDone" | "PeerData" => {}
             other => return Err(format!("field t: unknown message '{other}'")),
         }
         Ok(())
@@ -256,9 +250,6 @@
             };
             said.push(json!({"t": "Verdict", "rel": v.build, "wave": v.stage, "code": code}));
         }
-        for i in due.probes {
-            said.push(json!({"t": "AskLoad", "appliance": self.appliances.1[i]}));
-        }
         for note in due.notes {
             said.push(json!({"t": "Debug", "note-text": note}));
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,8 +2,8 @@
 //!
 //! Asked by three calls: [`Choice::place`] (where to send this command, or not yet, or never),
 //! [`Choice::after`] (what to do after this outcome) and [`Choice::wait`] (how long to wait, with the
-//! vote, probes and list call now due). Told facts by `take`, `begun`, `left`, `list`, `list_failed`,
-//! `news`, `reply`, `tally`, `flag` and `probed`. Each agent has a `Choice` of its own.
+//! vote, the list call and the report lines now due). Told facts by `take`, `begun`, `left`, `list`,
+//! `list_failed`, `news`, `reply`, `tally` and `flag`. Each agent has a `Choice` of its own.
 
 use crate::state::*;
 use crate::types::*;
@@ -21,6 +21,7 @@
 const LEAST_OUTCOMES: f64 = 10.0;
 const FAILED_SHARE: f64 = 0.04;
 const LOST_SHARE: f64 = 0.2; // a lost answer says less of a build than a failed one
+const SHOWN: f64 = 1.0; // failures that an appliance would have shown
 const SLOW_AT: f64 = 1.6; // times the pace of the earlier build's slower quarter
 const PACED: u32 = 12; // answers that make an appliance's pace
 const SETTLED: Duration = ms(6000);
@@ -109,18 +110,13 @@
             let slot = if self.at.by_lane { c.lane } else { 0 };
             b.tokens[slot] = (b.tokens[slot] + b.cap).min(self.at.free);
         }
-        if let Some(l) = c.customer.and_then(|i| self.customer_load.get_mut(i)) {
-            *l += 1.0;
-        }
-        let open = Open::new(now, &c);
-        self.commands.insert(id, open);
+        c.customer.and_then(|i| self.customer_load.get_mut(i)).into_iter().for_each(|l| *l += 1.0);
+        self.commands.insert(id, Open::new(now, &c));
     }
 
     /// The answer of a streamed command has begun: it belongs to the client now.
     pub fn begun(&mut self, id: u64) {
-        if let Some(c) = self.commands.get_mut(&id) {
-            c.closed = true;
-        }
+        self.close(id);
     }
 
     /// The client has gone.
@@ -167,19 +163,17 @@
 
     /// What the platform says of the newest build.
     pub fn news(&mut self, now: Duration, n: News) {
-        match &self.news {
-            Some(o) if o.build > n.build => return,
-            Some(o) if o.build == n.build => {}
-            Some(_) => {
-                self.drag = Drag::default();
-                self.bound.clear();
-            }
+        let known = self.news.as_ref().map(|o| o.build);
+        if known.is_some_and(|b| b > n.build) {
+            return;
+        }
+        if known != Some(n.build) {
+            (self.drag, self.bound) = Default::default();
+        }
+        if known.is_none() && n.phase == Phase::Trial && self.at.votes {
             // Guards against a vote that this agent cast before a restart and has forgotten.
-            None if n.phase == Phase::Trial && self.at.votes => {
-                let v = Vote { build: n.build, stage: n.stage, verdict: Verdict::Hold };
-                self.standing = Some((v, now));
-            }
-            None => {}
+            let v = Vote { build: n.build, stage: n.stage, verdict: Verdict::Hold };
+            self.standing = Some((v, now));
         }
         self.build(n.build);
         self.news = Some(n);
@@ -221,13 +215,6 @@
         }
     }
 
-    /// A probe has come back.
-    pub fn probed(&mut self, now: Duration, appliance: usize, well: bool) {
-        if let Some(a) = self.fleet.get_mut(appliance).filter(|a| !well && a.aside.is_some()) {
-            a.aside = Some(now + a.aside_for);
-        }
-    }
-
     // ---- the three calls ----
 
     /// Where to send this command now.
@@ -253,9 +240,8 @@
             if !self.at.second_copies {
                 return Answer::Withdraw { delivery };
             }
-            let Some(other) = self.pick(now, id) else { return Answer::Wait };
             self.spare -= 1.0;
-            return self.send(now, id, other);
+            return self.pick(now, id).map_or(Answer::Wait, |other| self.send(now, id, other));
         }
         // Overload: what is worth least is denied before it costs anything.
         let out_of_time = left <= self.at.tick * 2;
@@ -293,9 +279,9 @@
         }
         let ran = c.deliveries.iter().any(|d| d.may_have_run);
         let cost = if ran { 1.0 } else { 0.3 };
-        let hopeless = c.expires.saturating_sub(now).as_secs_f64() < self.lanes[lane].usual * 0.5;
+        let late = c.expires.saturating_sub(now).as_secs_f64() < self.lanes[lane].usual * 0.5;
         let barred = ran && self.lanes[lane].repeats == Repeats::Unrepeatable;
-        if hopeless || barred || self.spare < cost {
+        if late || barred || self.spare < cost {
             return self.give_up(id);
         }
         self.spare -= cost;
@@ -311,7 +297,7 @@
         let watch = self.watch_at.take_if(|t| now >= *t).is_some();
         let until = self.watch_at.map_or(self.survey_at, |t| t.min(self.survey_at));
         let (vote, notes) = (self.vote(now), std::mem::take(&mut self.notes));
-        Due { until, vote, watch, notes, probes: Vec::new() }
+        Due { until, vote, watch, notes }
     }
 
     // ---- builds, exposure, votes ----
@@ -341,11 +327,9 @@
             return true;
         }
         let stage = self.news.as_ref().filter(|n| n.build == build).map_or(0, |n| n.stage);
-        if stage < self.at.guarded && self.lanes[lane].repeats != Repeats::Idempotent {
-            return false;
-        }
+        let open = stage >= self.at.guarded || self.lanes[lane].repeats == Repeats::Idempotent;
         let slot = if self.at.by_lane { lane } else { 0 };
-        self.builds.get(&build).is_some_and(|b| b.cap > 0.0 && b.tokens[slot] >= 1.0)
+        open && self.builds.get(&build).is_some_and(|b| b.cap > 0.0 && b.tokens[slot] >= 1.0)
     }
 
     /// The verdict on the newest build against the build before it.
@@ -354,19 +338,21 @@
         let earlier = self.builds.keys().rev().copied().find(|b| *b < n.build).unwrap_or(0);
         let since = self.builds.get(&n.build).and_then(|b| b.regressed);
         let was = since.is_some();
-        let newest = self.builds.get(&n.build).map_or(Duration::ZERO, |b| b.newest);
         // Until the build has settled, a hold once placed is kept on half of what placed it.
-        let ease = if was && now < newest + SETTLED { 0.5 } else { 1.0 };
+        let settled = self.builds.get(&n.build).is_none_or(|b| now >= b.newest + SETTLED);
+        let ease = if was && !settled { 0.5 } else { 1.0 };
         let (mut why, mut strength) = (None, 0.0f64);
-        let tallied = |b: u32| self.builds.get(&b).map_or_else(Vec::new, |b| b.tally.clone());
-        let here = (self.totals(n.build), self.totals(earlier));
-        for (t, b) in [here, (tallied(n.build), tallied(earlier))] {
-            if t.iter().map(Count::all).sum::<f64>() < LEAST_OUTCOMES {
+        let tally = |b: u32| self.builds.get(&b).map_or_else(Vec::new, |b| b.tally.clone());
+        for (t, b) in [(self.totals(n.build), self.totals(earlier)), (tally(n.build), tally(earlier))] {
+            let (all, bad) = t.iter().fold((0.0, 0.0), |s, c| (s.0 + c.all(), s.1 + c.failed + c.lost));
+            if all < LEAST_OUTCOMES {
                 continue;
             }
             for (lane, (t, b)) in t.iter().zip(&b).enumerate() {
                 let what = regressed(t, b, 1.0 / self.at.flagged_share.clamp(0.1, 1.0), ease);
-                if let Some(what) = what.filter(|_| t.flagged >= LEAST_FAILURES || self.widespread(n.build)) {
+                if let Some(what) =
+                    what.filter(|_| t.flagged >= LEAST_FAILURES || self.widespread(n.build, bad / all))
+                {
                     strength = strength.max(t.failed + t.flagged + t.lost);
                     why = Some(format!("lane {lane} {what}, trial {t:.0?}, earlier {b:.0?}"));
                 }
@@ -447,13 +433,12 @@
         sum
     }
 
-    /// Guards against sick machines that speak ill of their build: what the build does wrong shows on each of
-    /// its appliances that has answered enough. May delay the verdict on a build that fails rarely.
-    fn widespread(&self, build: u32) -> bool {
+    /// Guards against sick machines that speak ill of their build: what the build fails shows on each of its
+    /// appliances that has answered enough to show it. May delay the verdict on one that fails rarely.
+    fn widespread(&self, build: u32, share: f64) -> bool {
         self.running().filter(|(_, a)| a.build == build).all(|(_, a)| {
-            let (all, bad) =
-                a.counts.iter().fold((0.0, 0.0), |s, c| (s.0 + c.all(), s.1 + c.failed + c.lost));
-            all < LEAST_OUTCOMES || bad > all * FAILED_SHARE / 2.0
+            let all: f64 = a.counts.iter().map(Count::all).sum();
+            all * share < SHOWN || a.counts.iter().any(|c| c.failed + c.lost > 0.0)
         })
     }
 
@@ -751,8 +736,8 @@
         }
         self.limit = (!good).then_some(room + room.sqrt() + 2.0);
         let patience = self.patience();
-        let stuck = (0..self.fleet.len()).filter(|i| self.silent(*i, now, patience));
-        self.stuck = stuck.map(|i| self.fleet[i].in_flight).sum();
+        let stuck = |a: &&Appliance| a.unheard.is_some_and(|t| now >= t + patience);
+        self.stuck = self.fleet.iter().filter(stuck).map(|a| a.in_flight).sum();
         self.judge(now);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! tulipwall shifts calls between an old and a new build of the appliances behind a service.
 //!
 //! Ask a [`Choice`] where to send a command, what to do after an outcome, and how long to wait;
-//! tell it the facts that reach this agent. All decisions are in `choice`; `types` and `state` are plain data.
+//! tell it the facts that reach this agent. All decisions are in `choice`; `types` and `state` are plain
+//! data.
 
 mod choice;
 mod state;
--- a/src/types.rs
+++ b/src/types.rs
@@ -14,7 +14,6 @@
     pub benefit_by_work: bool,
     pub list_asked: bool,
     pub ask_within: Duration,
-    pub probes: bool,
     pub second_copies: bool,
     pub withdraw: bool,
     pub come_back: Option<Duration>,
@@ -199,7 +198,6 @@
 pub struct Due {
     pub until: Duration,
     pub vote: Option<Vote>,
-    pub probes: Vec<usize>,
     pub watch: bool,
     pub notes: Vec<String>,
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -24,7 +24,6 @@
         benefit_by_work: false,
         list_asked: false,
         ask_within: ms(10_000),
-        probes: false,
         second_copies: false,
         withdraw: true,
         come_back: Some(ms(2000)),
