--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,7 +43,8 @@
 const SICK_FOR: Duration = ms(8000);
 
 // Load.
-const TARGET: f64 = 0.4; // of the quoted time: a mean answer that keeps nearly all within it
+const TARGET: f64 = 0.25; // of the quoted time: a mean answer that keeps nearly all within it
+const EASY: f64 = 0.2; // of the quoted time: answers this quick need no bound
 const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
 const GAP: Duration = ms(250); // between calls of a kind, doubled as they fail
 const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
@@ -732,7 +733,7 @@
             l.done = 0.0;
             l.least = (l.least * 1.002).min(l.usual);
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
-            good &= l.usual < l.quoted * TARGET * 0.5;
+            good &= l.usual < l.quoted * EASY;
         }
         self.limit = (!good).then_some(room + room.sqrt() + 2.0);
         let patience = self.patience();
