--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,7 +22,7 @@
 const FAILED_SHARE: f64 = 0.04;
 const LOST_SHARE: f64 = 0.2; // a lost answer says less of a build than a failed one
 const SHOWN: f64 = 1.5; // failures that an appliance would have shown
-const SLOW_AT: f64 = 1.6; // times the pace of the earlier build's slower quarter
+const SLOW_AT: f64 = 1.4; // times the pace of the earlier build's slower quarter; more where few show it
 const PACED: u32 = 12; // answers that make an appliance's pace
 const SETTLED: Duration = ms(6000);
 const HALF_LIFE: f64 = 10.0; // seconds until evidence weighs half
@@ -75,6 +75,7 @@
     want: Option<Vote>,
     standing: Option<(Vote, Duration)>,
     pending: Option<(Vote, Duration)>,
+    ahead: bool, // the platform seems a stage further than its news
     vote_at: Duration,
     vote_gap: Duration,
     survey_at: Duration,
@@ -167,6 +168,7 @@
         if known.is_some_and(|b| b > n.build) {
             return;
         }
+        self.ahead &= self.news.as_ref().is_some_and(|o| o.stage == n.stage);
         if known != Some(n.build) {
             (self.drag, self.bound) = Default::default();
         }
@@ -188,7 +190,8 @@
             Reply::Refused | Reply::Unknown => (self.vote_gap * 2).clamp(GAP, ms(2000)),
         };
         match (r, vote.verdict) {
-            (Reply::Counted, Verdict::None) | (Reply::Moot, _) => self.standing = None,
+            (Reply::Moot, _) => (self.standing, self.ahead) = (None, !self.ahead),
+            (Reply::Counted, Verdict::None) => self.standing = None,
             (Reply::Counted, _) => self.standing = Some((vote, now)),
             // It may count: it is cast again, and taken away if it is no longer meant.
             (Reply::Unknown, Verdict::Hold | Verdict::Back) => {
@@ -367,10 +370,10 @@
             paces
         };
         let (trial, base) = (paces(n.build), paces(earlier));
-        // Guards against a build that needs more work but fails nothing: all its appliances, three at least,
+        // Guards against a build that needs more work but fails nothing: all its appliances, two at least,
         // are slower than three quarters of the earlier build's now: one slowed machine is no slow build.
-        let at = SLOW_AT * if was { 0.8 } else { 1.0 };
-        if trial.len() > 2 && base.len() > 2 && trial[0] > at * base[base.len() * 3 / 4].max(1.0) {
+        let at = (SLOW_AT + 1.2 / trial.len().max(1) as f64) * if was { 0.8 } else { 1.0 };
+        if trial.len() > 1 && base.len() > 2 && trial[0] > at * base[base.len() * 3 / 4].max(1.0) {
             (why, strength) = (Some("slow on every appliance".into()), LEAST_FAILURES);
         }
         let middle = base.get(base.len() / 2).copied().filter(|_| base.len() > 2);
@@ -397,7 +400,9 @@
             Phase::Trial if seen => Some(Verdict::Hold),
             _ => None,
         };
-        self.want = verdict.map(|verdict| Vote { build: n.build, stage: n.stage, verdict });
+        // Guards against late news: a hold that was moot is tried on the next stage, then on this again.
+        let stage = n.stage + usize::from(self.ahead);
+        self.want = verdict.map(|verdict| Vote { build: n.build, stage, verdict });
     }
 
     /// Guards against a build that slows old and new alike in step with its traffic. When the earlier build's
