--- a/src/choice.rs
+++ b/src/choice.rs
@@ -616,6 +616,7 @@
         let trial = self.on_trial(build);
         let newest = self.news.as_ref().is_some_and(|n| build >= n.build);
         let quiet = !self.running().any(|(_, a)| self.on_trial(a.build));
+        let ramp = self.ramp(now, &self.fleet[i]);
         let (a, l) = (&mut self.fleet[i], &mut self.lanes[lane]);
         let took = end.took.as_secs_f64();
         a.in_flight = a.in_flight.saturating_sub(1);
@@ -664,9 +665,10 @@
             a.failing *= 0.85;
             let x = (took / l.usual).min(10.0);
             follow(&mut a.high, x);
+            // A cold one is as fast as its ramp at least, so this says no more of it than is true.
+            a.paced = (a.paced + 1).min(PACED);
+            a.pace += ((took * ramp / l.before).min(10.0) - a.pace) / f64::from(a.paced);
             if a.cold_since.is_none() {
-                a.paced = (a.paced + 1).min(PACED);
-                a.pace += ((took / l.before).min(10.0) - a.pace) / f64::from(a.paced);
                 if !trial {
                     l.usual += (took.min(l.usual * 10.0) - l.usual) * 0.02;
                     let side = if a.zone == self.at.zone { &mut self.near } else { &mut self.far };
