--- a/src/choice.rs
+++ b/src/choice.rs
@@ -236,7 +236,7 @@
                 return Answer::Wait;
             }
             let (d, patience) = (&c.deliveries[delivery], self.patience());
-            let silent = now >= d.sent + patience && self.silent(d.appliance, now, patience);
+            let silent = now >= d.sent + patience && self.fleet[d.appliance].silent(now, patience);
             if !silent && (!self.at.second_copies || now < d.sent + patience * 2) {
                 return Answer::NotYet { until: now + (patience / 4).max(self.at.tick) };
             }
@@ -346,9 +346,7 @@
         let (mut why, mut strength) = (None, 0.0f64);
         let tally = |b: u32| self.builds.get(&b).map_or_else(Vec::new, |b| b.tally.clone());
         for (t, b) in [(self.totals(n.build), self.totals(earlier)), (tally(n.build), tally(earlier))] {
-            let (mut pool, mut base) = (Count::default(), Count::default());
-            t.iter().for_each(|c| pool.mix(1.0, c));
-            b.iter().for_each(|c| base.mix(1.0, c));
+            let (pool, base) = (Count::sum(&t), Count::sum(&b));
             let (all, share) = (pool.all(), (pool.failed + pool.lost) / pool.all().max(1.0));
             if all < LEAST_OUTCOMES {
                 continue;
@@ -431,8 +429,8 @@
     /// Counts of a build by lane. Appliances set aside are left out of an earlier build: their lost answers
     /// would erase the baseline.
     fn totals(&self, build: u32) -> Vec<Count> {
-        let none = || vec![Count::default(); self.lanes.len()];
-        let mut sum = self.builds.get(&build).map_or_else(none, |b| b.past.clone());
+        let past = self.builds.get(&build).map(|b| b.past.clone());
+        let mut sum = past.unwrap_or_else(|| vec![Count::default(); self.lanes.len()]);
         let newest = self.news.as_ref().is_some_and(|n| n.build == build);
         for (_, a) in self.running().filter(|(_, a)| a.build == build && (newest || a.aside.is_none())) {
             sum.iter_mut().zip(&a.counts).for_each(|(s, c)| s.mix(1.0, c));
@@ -444,8 +442,8 @@
     /// appliances that has answered enough to show it. May delay the verdict on one that fails rarely.
     fn widespread(&self, build: u32, share: f64) -> bool {
         self.running().filter(|(_, a)| a.build == build).all(|(_, a)| {
-            let all: f64 = a.counts.iter().map(Count::all).sum();
-            all * share < SHOWN || a.counts.iter().any(|c| c.failed + c.lost > 0.0)
+            let sum = Count::sum(&a.counts);
+            sum.all() * share < SHOWN || sum.failed + sum.lost > 0.0
         })
     }
 
@@ -530,7 +528,7 @@
             let draw = a.weight * ramp * share * if regressed && trial { TRICKLE } else { 1.0 };
             let tried = c.deliveries.iter().any(|d| d.appliance == i);
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
-            let rank = if resting || self.silent(i, now, patience) {
+            let rank = if resting || a.silent(now, patience) {
                 2
             } else if tried
                 || trial && regressed && !idempotent
@@ -580,10 +578,6 @@
         Duration::from_secs_f64((high * 2.0).clamp(0.1, 3.0))
     }
 
-    fn silent(&self, i: usize, now: Duration, patience: Duration) -> bool {
-        self.fleet[i].unheard.is_some_and(|t| now >= t + patience)
-    }
-
     fn send(&mut self, now: Duration, id: u64, i: usize) -> Answer {
         let patience = self.patience();
         let Some(c) = self.commands.get_mut(&id) else { return Answer::Wait };
@@ -616,7 +610,6 @@
         let trial = self.on_trial(build);
         let newest = self.news.as_ref().is_some_and(|n| build >= n.build);
         let quiet = !self.running().any(|(_, a)| self.on_trial(a.build));
-        let ramp = self.ramp(now, &self.fleet[i]);
         let (a, l) = (&mut self.fleet[i], &mut self.lanes[lane]);
         let took = end.took.as_secs_f64();
         a.in_flight = a.in_flight.saturating_sub(1);
@@ -665,10 +658,9 @@
             a.failing *= 0.85;
             let x = (took / l.usual).min(10.0);
             follow(&mut a.high, x);
-            // A cold one is as fast as its ramp at least, so this says no more of it than is true.
-            a.paced = (a.paced + 1).min(PACED);
-            a.pace += ((took * ramp / l.before).min(10.0) - a.pace) / f64::from(a.paced);
             if a.cold_since.is_none() {
+                a.paced = (a.paced + 1).min(PACED);
+                a.pace += ((took / l.before).min(10.0) - a.pace) / f64::from(a.paced);
                 if !trial {
                     l.usual += (took.min(l.usual * 10.0) - l.usual) * 0.02;
                     let side = if a.zone == self.at.zone { &mut self.near } else { &mut self.far };
@@ -684,7 +676,7 @@
             }
         }
         // A build on trial must be heard before its appliances rest, or it would never be judged.
-        let heard = !newest || a.counts.iter().map(Count::all).sum::<f64>() >= LEAST_OUTCOMES;
+        let heard = !newest || Count::sum(&a.counts).all() >= LEAST_OUTCOMES;
         if (lost || heard && a.failing > SICK_SHARE) && a.aside.is_none_or(|t| now >= t) {
             if a.aside.is_none() {
                 self.notes.push(format!("set aside: appliance {i}, build {build}, after {:?}", end.outcome));
@@ -700,9 +692,8 @@
         let none = Count::default();
         let trial = self.news.as_ref().map_or(0, |n| n.build);
         let old = |counts: &mut Vec<Count>, build: u32| {
-            if build >= trial || counts.iter().map(Count::all).sum::<f64>() > KEEP {
-                counts.iter_mut().for_each(|c| c.mix(fade, &none));
-            }
+            let fades = build >= trial || Count::sum(counts).all() > KEEP;
+            counts.iter_mut().filter(|_| fades).for_each(|c| c.mix(fade, &none));
         };
         let median = |of: &dyn Fn(u32) -> bool| {
             let warm = self.running().filter(|(_, a)| a.cold_since.is_none() && of(a.build));
@@ -745,8 +736,8 @@
         }
         self.limit = (!good).then_some(room + room.sqrt() + 2.0);
         let patience = self.patience();
-        let stuck = |a: &&Appliance| a.unheard.is_some_and(|t| now >= t + patience);
-        self.stuck = self.fleet.iter().filter(stuck).map(|a| a.in_flight).sum();
+        let stuck = self.fleet.iter().filter(|a| a.silent(now, patience));
+        self.stuck = stuck.map(|a| a.in_flight).sum();
         self.judge(now);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,11 @@
         self.flagged = self.flagged * by + o.flagged;
         self.lost = self.lost * by + o.lost;
     }
+    pub fn sum(of: &[Count]) -> Count {
+        let mut sum = Count::default();
+        of.iter().for_each(|c| sum.mix(1.0, c));
+        sum
+    }
     pub fn all(&self) -> f64 {
         self.satisfied + self.failed + self.lost
     }
@@ -177,6 +182,10 @@
 }
 
 impl Appliance {
+    pub fn silent(&self, now: Duration, patience: Duration) -> bool {
+        self.unheard.is_some_and(|t| now >= t + patience)
+    }
+
     pub fn listed(e: &Listed, lanes: usize, in_flight: usize, cold_since: Option<Duration>) -> Appliance {
         Appliance {
             standing: e.standing,
