--- a/src/choice.rs
+++ b/src/choice.rs
@@ -734,7 +734,7 @@
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
             good &= l.usual < l.quoted * EASY;
         }
-        self.limit = (!good).then_some(room + room.sqrt() + 2.0);
+        self.limit = (!good).then_some(room + 1.0);
         let patience = self.patience();
         let stuck = self.fleet.iter().filter(|a| a.silent(now, patience));
         self.stuck = stuck.map(|a| a.in_flight).sum();
