--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,7 +44,6 @@
 // Load.
 const TARGET: f64 = 0.4; // of the quoted time: a mean answer that keeps nearly all within it
 const EASY: f64 = 0.2; // of the quoted time: answers this quick need no bound
-const CALM: f64 = 1.3; // times what is in flight in easy times
 const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
 const GAP: Duration = ms(250); // between calls of a kind, doubled as they fail
 const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
@@ -69,7 +68,6 @@
     stuck: usize,
     sick_until: Duration, // single machines of the earlier build fail, too
     limit: Option<f64>,
-    calm: f64, // what is in flight in easy times
     spare: f64,
     near: f64,
     far: f64,
@@ -736,10 +734,7 @@
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
             good &= l.usual < l.quoted * EASY;
         }
-        // Never under what was in flight in easy times: slower answers alone are no reason to send less.
-        let open = self.in_flight.saturating_sub(self.stuck) as f64;
-        self.calm += if good { (open - self.calm) * 0.02 } else { 0.0 };
-        self.limit = (!good).then_some(room.max(self.calm * CALM) + 1.0);
+        self.limit = (!good).then_some(room + room.sqrt() + 2.0);
         let patience = self.patience();
         let stuck = self.fleet.iter().filter(|a| a.silent(now, patience));
         self.stuck = stuck.map(|a| a.in_flight).sum();
