--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,8 +31,6 @@
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
 const DRAG_AT: f64 = 1.75; // times the pace before the trial
 const DRAG_TEST: Duration = ms(3500);
-const PROVEN: f64 = 40.0; // outcomes without a regression
-const PUSH: f64 = 1.5; // times a fair share goes to a proven build in easy times: it is the newer one
 const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
 
 // Health.
@@ -345,12 +343,11 @@
         // Until the build has settled, a hold once placed is kept on half of what placed it.
         let settled = self.builds.get(&n.build).is_none_or(|b| now >= b.newest + SETTLED);
         let ease = if was && !settled { 0.5 } else { 1.0 };
-        let (mut why, mut strength, mut outcomes) = (None, 0.0f64, 0.0f64);
+        let (mut why, mut strength) = (None, 0.0f64);
         let tally = |b: u32| self.builds.get(&b).map_or_else(Vec::new, |b| b.tally.clone());
         for (t, b) in [(self.totals(n.build), self.totals(earlier)), (tally(n.build), tally(earlier))] {
             let (pool, base) = (Count::sum(&t), Count::sum(&b));
             let (all, share) = (pool.all(), (pool.failed + pool.lost) / pool.all().max(1.0));
-            outcomes = outcomes.max(all);
             if all < LEAST_OUTCOMES {
                 continue;
             }
@@ -390,7 +387,6 @@
         }
         let b = self.build(n.build);
         b.regressed = seen;
-        b.proven = !seen && outcomes >= PROVEN;
         b.shown += if seen { SURVEY.as_secs_f64() } else { 0.0 };
         let lasting = seen && b.shown * strength >= BACK_WEIGHT;
         // A hold cannot protect from a released build, nor give back the places of appliances that are gone.
@@ -522,11 +518,9 @@
                 continue;
             }
             let trial = self.on_trial(a.build);
-            let view = self.builds.get(&a.build);
-            let regressed = view.is_some_and(|b| b.regressed);
+            let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed);
             // The build on trial gets an even share from every zone, a regressed one a trickle.
             let share = match (trial, a.zone == self.at.zone) {
-                (true, _) if self.limit.is_none() && view.is_some_and(|b| b.proven) => fair * PUSH,
                 (true, _) => fair,
                 (false, true) => 1.0,
                 (false, false) => self.abroad,
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,7 +81,6 @@
     pub tally: Vec<Count>,
     pub newest: Duration,
     pub regressed: bool,
-    pub proven: bool,
     pub shown: f64, // seconds for which it has been
 }
 
