--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,7 @@
 const HALF_LIFE: f64 = 10.0; // seconds until evidence weighs half
 const KEEP: f64 = 20.0; // outcomes below which a baseline no longer fades
 const BACK_WEIGHT: f64 = 12.0; // failures times the seconds for which they have shown
+const BACK_FADE: f64 = 0.98; // each survey that shows none
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
 const DRAG_AT: f64 = 1.75; // times the pace before the trial
 const DRAG_TEST: Duration = ms(3500);
@@ -387,8 +388,8 @@
         }
         let b = self.build(n.build);
         b.regressed = seen;
-        b.shown += if seen { SURVEY.as_secs_f64() } else { 0.0 };
-        let lasting = seen && b.shown * strength >= BACK_WEIGHT;
+        b.shown = if seen { b.shown + strength * SURVEY.as_secs_f64() } else { b.shown * BACK_FADE };
+        let lasting = seen && b.shown >= BACK_WEIGHT;
         // A hold cannot protect from a released build, nor give back the places of appliances that are gone.
         let running = self.running().count().max(1) as f64;
         let taken = self.running().filter(|(_, a)| a.build == n.build).count() as f64 / running;
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,7 +81,7 @@
     pub tally: Vec<Count>,
     pub newest: Duration,
     pub regressed: bool,
-    pub shown: f64, // seconds for which it has been
+    pub shown: f64, // failures times the seconds for which they showed, fading
 }
 
 /// The test whether a build on trial drags the whole fleet down.
