--- a/src/choice.rs
+++ b/src/choice.rs
@@ -792,7 +792,7 @@
 /// Whether the build on trial regressed a lane that the earlier build satisfies.
 fn regressed(t: &Count, b: &Count, flag_worth: f64, ease: f64) -> Option<&'static str> {
     let worse = |seen: f64, t: (f64, f64), b: (f64, f64), share: f64| {
-        seen >= LEAST_FAILURES * ease && t.0 > share * ease * t.1 && b.1 >= 1.0 && b.0 < share * b.1
+        seen >= LEAST_FAILURES * ease && t.0 > share * ease * t.1 && b.0 < share * b.1
     };
     // Answers that came and failed; lost ones do not blur this baseline.
     let came = |c: &Count| (c.failed + c.flagged * flag_worth, c.satisfied + c.failed);
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -322,3 +322,23 @@
     assert!(held <= 2, "{:?}", w.notes);
     assert!(w.notes.last().is_none_or(|n| n.starts_with("lift")), "{:?}", w.notes);
 }
+
+#[test]
+fn what_a_complete_list_lacks_is_gone() {
+    let mut w = rollout(|_| {});
+    let kept: Vec<Listed> = (0..3).map(|i| listed(i, 7, None)).collect();
+    w.choice.list(w.now, &kept, true);
+    let before = w.sends.len();
+    w.serve(60, 0, ms(20), |_| Outcome::Satisfied);
+    assert!(w.sends[before..].iter().all(|s| s.1 < 3));
+}
+
+#[test]
+fn an_appliance_that_owes_an_answer_gets_nothing_more() {
+    let mut w = rollout(|_| {});
+    let Answer::Send { appliance, .. } = w.take(5000, 2, ms(3000)) else { panic!("not sent") };
+    w.pass(ms(700));
+    let before = w.sends.len();
+    w.serve(60, 0, ms(20), |_| Outcome::Satisfied);
+    assert!(w.sends[before..].iter().all(|s| s.1 != appliance));
+}
