--- a/src/choice.rs
+++ b/src/choice.rs
@@ -418,7 +418,7 @@
             if d.until.take_if(|t| now >= *t).is_some() {
                 let recovered = pace < d.before + (d.worst - d.before) * 0.4;
                 d.falls = if recovered { d.falls + 1 } else { 0 };
-                d.before = if recovered { d.before } else { pace };
+                d.before = if recovered { d.before } else { (d.before * pace).sqrt() };
             } else if d.until.is_none() && started && d.falls < 2 && pace > d.before * DRAG_AT {
                 d.worst = pace;
                 d.until = Some(now + DRAG_TEST);
