--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,6 @@
 const BACK_FADE: f64 = 0.98; // each survey that shows none
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
 const DRAG_AT: f64 = 1.75; // times the pace before the trial
-const DRAG_NEWS: f64 = 1.35; // the same, when news of a stage comes
 const DRAG_TEST: Duration = ms(3500);
 const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
 
@@ -170,7 +169,6 @@
         if known.is_some_and(|b| b > n.build) {
             return;
         }
-        self.drag.due |= self.news.as_ref().is_some_and(|o| o.build == n.build && o.stage < n.stage);
         self.ahead &= self.news.as_ref().is_some_and(|o| o.stage == n.stage);
         if known != Some(n.build) {
             (self.drag, self.bound) = Default::default();
@@ -417,13 +415,11 @@
             if d.before == 0.0 || !started {
                 d.before = if d.before == 0.0 { pace } else { d.before + (pace - d.before) * 0.05 };
             }
-            // News of a stage reaches all agents about together: tests that start on it coincide.
-            let at = if std::mem::take(&mut d.due) { DRAG_NEWS } else { DRAG_AT };
             if d.until.take_if(|t| now >= *t).is_some() {
                 let recovered = pace < d.before + (d.worst - d.before) * 0.4;
                 d.falls = if recovered { d.falls + 1 } else { 0 };
                 d.before = if recovered { d.before } else { pace };
-            } else if d.until.is_none() && started && d.falls < 2 && pace > d.before * at {
+            } else if d.until.is_none() && started && d.falls < 2 && pace > d.before * DRAG_AT {
                 d.worst = pace;
                 d.until = Some(now + DRAG_TEST);
             }
