--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -179,7 +179,7 @@
             "UnderWay" => {
                 let (name, _) = (item.text("txn")?, item.whole("n")?);
                 if let Some(id) = self.commands.get(name) {
-                    self.choice.begun(*id);
+                    self.choice.left(*id);
                 }
             }
             "ReportBack" => {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,7 +2,7 @@
 //!
 //! Asked by three calls: [`Choice::place`] (where to send this command, or not yet, or never),
 //! [`Choice::after`] (what to do after this outcome) and [`Choice::wait`] (how long to wait, with the
-//! vote, the list call and the report lines now due). Told facts by `take`, `begun`, `left`, `list`,
+//! vote, the list call and the report lines now due). Told facts by `take`, `left`, `list`,
 //! `list_failed`, `news`, `reply`, `tally` and `flag`. Each agent has a `Choice` of its own.
 
 use crate::state::*;
@@ -25,6 +25,7 @@
 const SLOW_AT: f64 = 1.4; // times the pace of the earlier build's slower quarter; more where few show it
 const PACED: u32 = 12; // answers that make an appliance's pace
 const SETTLED: Duration = ms(6000);
+const SERVED: Duration = ms(15_000); // since its newest start
 const HALF_LIFE: f64 = 10.0; // seconds until evidence weighs half
 const KEEP: f64 = 20.0; // outcomes below which a baseline no longer fades
 const BACK_WEIGHT: f64 = 12.0; // failures times the seconds for which they have shown
@@ -116,12 +117,7 @@
         self.commands.insert(id, Open::new(now, &c));
     }
 
-    /// The answer of a streamed command has begun: it belongs to the client now.
-    pub fn begun(&mut self, id: u64) {
-        self.close(id);
-    }
-
-    /// The client has gone.
+    /// Nothing more is owed: the client has gone, or its streamed answer has begun and is its own.
     pub fn left(&mut self, id: u64) {
         self.close(id);
     }
@@ -158,7 +154,7 @@
     /// A list call failed, or the watch broke: ask again, less and less often.
     pub fn list_failed(&mut self, now: Duration) {
         if let Some(most) = self.at.ask_within.map(|t| t / 5) {
-            self.watch_at = Some(now + self.watch_gap.mul_f64(0.7 + 0.6 * self.chance()));
+            self.watch_at = Some(now + self.watch_gap.mul_f64(0.7 + 0.6 * chance(&mut self.rng)));
             self.watch_gap = (self.watch_gap * 2).clamp(GAP, most.max(GAP));
         }
     }
@@ -166,7 +162,7 @@
     /// What the platform says of the newest build.
     pub fn news(&mut self, now: Duration, n: News) {
         let known = self.news.as_ref().map(|o| o.build);
-        if known.is_some_and(|b| b > n.build) {
+        if known > Some(n.build) {
             return;
         }
         self.ahead &= self.news.as_ref().is_some_and(|o| o.stage == n.stage);
@@ -342,8 +338,8 @@
         let earlier = self.builds.keys().rev().copied().find(|b| *b < n.build).unwrap_or(0);
         let was = self.builds.get(&n.build).is_some_and(|b| b.regressed);
         // Until the build has settled, a hold once placed is kept on half of what placed it.
-        let settled = self.builds.get(&n.build).is_none_or(|b| now >= b.newest + SETTLED);
-        let ease = if was && !settled { 0.5 } else { 1.0 };
+        let age = self.builds.get(&n.build).map_or(SETTLED, |b| now.saturating_sub(b.newest));
+        let ease = if was && age < SETTLED { 0.5 } else { 1.0 };
         let (mut why, mut strength) = (None, 0.0f64);
         let tally = |b: u32| self.builds.get(&b).map_or_else(Vec::new, |b| b.tally.clone());
         for (t, b) in [(self.totals(n.build), self.totals(earlier)), (tally(n.build), tally(earlier))] {
@@ -391,11 +387,12 @@
         b.shown = if seen { b.shown + strength * SURVEY.as_secs_f64() } else { b.shown * BACK_FADE };
         let lasting = seen && b.shown >= BACK_WEIGHT;
         // A hold cannot protect from a released build, nor give back the places of appliances that are gone.
-        let running = self.running().count().max(1) as f64;
-        let taken = self.running().filter(|(_, a)| a.build == n.build).count() as f64 / running;
-        let exposed = n.phase == Phase::Released || self.at.in_place && taken > BACK_SHARE;
+        // One that has served for long is not refused: what fails then is not the build.
+        let places = |of: &dyn Fn(u32) -> bool| self.running().filter(|(_, a)| of(a.build)).count() as f64;
+        let taken = places(&|b| b == n.build) > BACK_SHARE * places(&|_| true);
         let verdict = match n.phase {
-            Phase::Trial | Phase::Released if lasting && exposed => Some(Verdict::Back),
+            Phase::Released if lasting && age < SERVED => Some(Verdict::Back),
+            Phase::Trial if lasting && self.at.in_place && taken => Some(Verdict::Back),
             Phase::Trial if seen => Some(Verdict::Hold),
             _ => None,
         };
@@ -544,7 +541,7 @@
         let fit = pool.iter().find(|p| !p.is_empty())?;
         let total: f64 = fit.iter().map(|c| c.1).sum();
         let mut draw = || {
-            let mut at = self.chance() * total;
+            let mut at = chance(&mut self.rng) * total;
             fit.iter().find(|c| {
                 at -= c.1;
                 at <= 0.0
@@ -775,10 +772,6 @@
         }
     }
 
-    fn chance(&mut self) -> f64 {
-        self.rng.as_mut().map_or(0.0, |r| r.gen_range(0.0..1.0))
-    }
-
     fn close(&mut self, id: u64) {
         if let Some(c) = self.commands.get_mut(&id) {
             c.closed = true;
@@ -807,3 +800,7 @@
 fn follow(high: &mut f64, x: f64) {
     *high = (*high * if x > *high { 1.135 } else { 0.985 }).clamp(0.001, 1000.0);
 }
+
+fn chance(rng: &mut Option<Pcg64Mcg>) -> f64 {
+    rng.as_mut().map_or(0.0, |r| r.gen_range(0.0..1.0))
+}
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -342,3 +342,12 @@
     w.serve(60, 0, ms(20), |_| Outcome::Satisfied);
     assert!(w.sends[before..].iter().all(|s| s.1 != appliance));
 }
+
+#[test]
+fn a_build_that_has_served_for_long_is_not_sent_back() {
+    let mut w = rollout(|_| {});
+    w.news(News { phase: Phase::Released, ..trial(8, 2, 1.0) });
+    w.serve(600, 0, ms(20), |_| Outcome::Satisfied);
+    w.serve(300, 0, ms(20), failing(8));
+    assert!(w.votes.iter().all(|v| v.1.verdict != Verdict::Back), "{:?}", w.notes);
+}
