--- a/src/choice.rs
+++ b/src/choice.rs
@@ -727,12 +727,11 @@
         // it, answers grow with what is sent; above it, only the waiting does. Quick answers need no limit.
         let gain = SURVEY.as_secs_f64() / RATE_OVER;
         let (mut room, mut good) = (0.0, true);
-        let target = self.lanes.iter().map(|l| l.quoted).fold(f64::INFINITY, f64::min) * TARGET;
         for l in &mut self.lanes {
             l.rate += (l.done / SURVEY.as_secs_f64() - l.rate) * gain;
             l.done = 0.0;
             l.least = (l.least * 1.002).min(l.usual);
-            room += l.rate * target.max(l.least * 1.2);
+            room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
             good &= l.usual < l.quoted * EASY;
         }
         self.limit = (!good).then_some(room + room.sqrt() + 2.0);
