--- a/src/choice.rs
+++ b/src/choice.rs
@@ -415,12 +415,8 @@
             }
             if d.until.take_if(|t| now >= *t).is_some() {
                 let recovered = pace < d.before + (d.worst - d.before) * 0.4;
-                // Other agents may only begin to test: without recovery it goes on, three times in all.
-                d.tries = if recovered { 0 } else { d.tries + 1 };
-                d.falls += u32::from(recovered);
-                if d.tries > 2 {
-                    (d.tries, d.falls, d.before) = (0, 0, pace);
-                }
+                d.falls = if recovered { d.falls + 1 } else { 0 };
+                d.before = if recovered { d.before } else { pace };
             } else if d.until.is_none() && started && d.falls < 2 && pace > d.before * DRAG_AT {
                 d.worst = pace;
                 d.until = Some(now + DRAG_TEST);
--- a/src/state.rs
+++ b/src/state.rs
@@ -91,7 +91,6 @@
     pub worst: f64,
     pub until: Option<Duration>,
     pub falls: u32,
-    pub tries: u32,
 }
 
 #[derive(Default)]
