Failures must show on all trial appliances but any one, too

Guards against any trouble of one machine; may delay a verdict where a build fails on one kind of machine only.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,6 +22,7 @@
 const FAILED_SHARE: f64 = 0.04;
 const LOST_SHARE: f64 = 0.2; // a lost answer says less of a build than a failed one
 const SHOWN: f64 = 1.5; // failures that an appliance would have shown
+const REST: f64 = 0.25; // of what they would have shown, by all appliances but one
 const SLOW_AT: f64 = 1.4; // times the pace of the earlier build's slower quarter; more where few show it
 const PACED: u32 = 12; // answers that make an appliance's pace
 const SETTLED: Duration = ms(6000);
@@ -35,7 +36,6 @@
 const DRAG_TEST: Duration = ms(3500);
 const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
 
-// Health.
 const SURVEY: Duration = ms(100);
 const ASIDE_FIRST: Duration = ms(500);
 const ASIDE_MOST: Duration = ms(4000);
@@ -43,7 +43,6 @@
 const SICK_SHARE: f64 = 0.3;
 const SICK_FOR: Duration = ms(8000);
 
-// Load.
 const TARGET: f64 = 0.4; // of the quoted time: a mean answer that keeps nearly all within it
 const EASY: f64 = 0.2; // of the quoted time: answers this quick need no bound
 const RATE_OVER: f64 = 0.5; // seconds over which answers are counted
@@ -345,7 +344,7 @@
         let tally = |b: u32| self.builds.get(&b).map_or_else(Vec::new, |b| b.tally.clone());
         for (t, b) in [(self.totals(n.build), self.totals(earlier)), (tally(n.build), tally(earlier))] {
             let (pool, base) = (Count::sum(&t), Count::sum(&b));
-            let (all, share) = (pool.all(), (pool.failed + pool.lost) / pool.all().max(1.0));
+            let (all, share) = (pool.all(), pool.bad() / pool.all().max(1.0));
             if all < LEAST_OUTCOMES {
                 continue;
             }
@@ -387,8 +386,7 @@
         b.regressed = seen;
         b.shown = if seen { b.shown + strength * SURVEY.as_secs_f64() } else { b.shown * BACK_FADE };
         let lasting = seen && b.shown >= BACK_WEIGHT;
-        // A hold cannot protect from a released build, nor give back the places of appliances that are gone.
-        // One that has served for long is not refused: what fails then is not the build.
+        // A hold cannot protect from a released build, nor give back places; one long served is not refused.
         let places = |of: &dyn Fn(u32) -> bool| self.running().filter(|(_, a)| of(a.build)).count() as f64;
         let taken = places(&|b| b == n.build) > BACK_SHARE * places(&|_| true);
         let verdict = match n.phase {
@@ -437,13 +435,16 @@
         sum
     }
 
-    /// Guards against sick machines that speak ill of their build: what the build fails shows on each of its
-    /// appliances that has answered enough to show it. May delay the verdict on one that fails rarely.
+    /// Guards against sick machines that speak ill of their build: a share that the build fails shows on each
+    /// of its appliances, and on all the others together. May delay the verdict on one that fails rarely.
     fn widespread(&self, build: u32, share: f64) -> bool {
-        self.running().filter(|(_, a)| a.build == build).all(|(_, a)| {
-            let sum = Count::sum(&a.counts);
-            sum.all() * share < SHOWN || sum.failed + sum.lost > 0.0
-        })
+        let of_build = self.running().filter(|(_, a)| a.build == build);
+        let each: Vec<Count> = of_build.map(|(_, a)| Count::sum(&a.counts)).collect();
+        let (all, sum) = (|c: &Count| c.all() * share, Count::sum(&each));
+        let alone = |c: &Count| all(c) < SHOWN || c.bad() > 0.0;
+        let others =
+            |c: &Count| all(&sum) - all(c) < SHOWN || sum.bad() - c.bad() > (all(&sum) - all(c)) * REST;
+        each.iter().all(|c| alone(c) && others(c))
     }
 
     fn vote(&mut self, now: Duration) -> Option<Vote> {
@@ -480,7 +481,7 @@
         self.fleet.iter().enumerate().filter(|(_, a)| a.standing == Standing::Running)
     }
 
-    /// Nothing more goes to an appliance that drains or is gone; what it showed of its build is kept.
+    /// It drains or is gone; what it showed of its build is kept.
     fn retire(&mut self, i: usize, standing: Standing) {
         let a = &mut self.fleet[i];
         let was = std::mem::replace(&mut a.standing, standing);
@@ -741,8 +742,6 @@
         self.judge(now);
     }
 
-    // ---- giving up ----
-
     /// Whether the load leaves no room for a command of this lane and customer.
     fn crowded(&self, c: &Open) -> bool {
         let Some(limit) = self.limit else { return false };
@@ -794,7 +793,7 @@
     if worse(t.failed + t.flagged * 0.6, came(t), came(b), FAILED_SHARE) {
         return Some("failed");
     }
-    let all = |c: &Count| (c.failed + c.lost, c.all());
+    let all = |c: &Count| (c.bad(), c.all());
     worse(all(t).0 / 2.0, all(t), all(b), LOST_SHARE).then_some("lost")
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,6 +27,9 @@
         of.iter().for_each(|c| sum.mix(1.0, c));
         sum
     }
+    pub fn bad(&self) -> f64 {
+        self.failed + self.lost
+    }
     pub fn all(&self) -> f64 {
         self.satisfied + self.failed + self.lost
     }
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -99,7 +99,7 @@
 #[test]
 fn one_sick_machine_of_several_says_nothing_of_its_build() {
     let mut w = rollout(|_| {});
-    w.list(&[listed(10, 8, Some(1100))]);
+    w.list(&[listed(10, 8, Some(1100)), listed(11, 8, Some(1100))]);
     w.serve(60, 0, ms(20), |_| Outcome::Satisfied);
     w.serve(300, 0, ms(20), |e| if e.appliance == 8 { Outcome::Failed } else { Outcome::Satisfied });
     assert!(w.votes.is_empty(), "{:?}", w.notes);
