--- a/src/choice.rs
+++ b/src/choice.rs
@@ -244,8 +244,7 @@
             return self.pick(now, id).map_or(Answer::Wait, |other| self.send(now, id, other));
         }
         // Overload: what is worth least is denied before it costs anything.
-        let out_of_time = left <= self.at.tick * 2;
-        if out_of_time || spent || c.deliveries.is_empty() && self.crowded(c) {
+        if left <= self.at.tick * 2 || spent || c.deliveries.is_empty() && self.crowded(c) {
             return self.give_up(id);
         }
         match self.pick(now, id) {
@@ -358,6 +357,11 @@
                 }
             }
         }
+        // Some sick machines add little towards sending back: only as much as the part that shows failures.
+        let of_build = |(_, a): &(usize, &Appliance)| a.build == n.build;
+        let held = self.running().filter(of_build).count().max(1) as f64;
+        let showing = self.running().filter(of_build).filter(|(_, a)| Count::sum(&a.counts).shows());
+        strength *= showing.count() as f64 / held;
         let paces = |b: u32| {
             let known = self.running().filter(|(_, a)| a.build == b && a.paced >= PACED);
             let mut paces: Vec<f64> = known.map(|(_, a)| a.pace).collect();
@@ -387,8 +391,7 @@
         b.shown = if seen { b.shown + strength * SURVEY.as_secs_f64() } else { b.shown * BACK_FADE };
         let lasting = seen && b.shown >= BACK_WEIGHT;
         // A hold cannot protect from a released build, nor give back places; one long served is not refused.
-        let places = |of: &dyn Fn(u32) -> bool| self.running().filter(|(_, a)| of(a.build)).count() as f64;
-        let taken = places(&|b| b == n.build) > BACK_SHARE * places(&|_| true);
+        let taken = held > BACK_SHARE * self.running().count() as f64;
         let verdict = match n.phase {
             Phase::Released if lasting && age < SERVED => Some(Verdict::Back),
             Phase::Trial if lasting && self.at.in_place && taken => Some(Verdict::Back),
@@ -401,9 +404,8 @@
     }
 
     /// Guards against a build that slows old and new alike in step with its traffic. When the earlier build's
-    /// middle appliance has slowed since the trial began, the trial gets a trickle for a while: if the fleet
-    /// recovers, and does so twice, the build is the cause; if not, something else is, and this pace is the
-    /// new measure. Costs a good build the test's length whenever load or a trouble slows most appliances.
+    /// middle appliance has slowed, the trial gets a trickle for a while: if the fleet recovers twice, the
+    /// build is the cause; if not, this pace is the new measure. Costs a good build the test's length.
     fn drags(&mut self, now: Duration, build: u32, pace: Option<f64>) -> bool {
         let started = self.running().any(|(_, a)| a.build == build);
         let d = &mut self.drag;
@@ -750,9 +752,7 @@
         let mut room = 0.8 + 0.2 * density(&self.lanes[c.lane]) / best;
         let total = self.customer_load.iter().sum::<f64>().max(1.0);
         let over = |i: usize| self.at.shares.get(i).is_some_and(|s| self.customer_load[i] > total * s * 1.15);
-        if c.customer.is_some_and(over) {
-            room *= 0.8;
-        }
+        room *= if c.customer.is_some_and(over) { 0.8 } else { 1.0 };
         self.in_flight.saturating_sub(self.stuck) as f64 >= limit * room
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,9 @@
     pub fn bad(&self) -> f64 {
         self.failed + self.lost
     }
+    pub fn shows(&self) -> bool {
+        self.bad() + self.flagged > 0.0
+    }
     pub fn all(&self) -> f64 {
         self.satisfied + self.failed + self.lost
     }
