SIGHUP reads the configuration again; discovery and platform move at once

Checked: 129 is the signal's default action; main.rs registered SIGTERM, SIGINT and SIGUSR1 only (Signals::new). Ruled out: a crash of the agent's own (no panic in its log), memory (6 of 48 MB).

Life has a state more, Renewing, until discovery and platform were heard at their new addresses. Discovery asks for the whole list there without waiting for a retry; the platform's old connection is heard out for the answer to a vote and for what it tells until the new one speaks. Signals are registered before the file is read. May harm: a file without a listening discovery costs the list until the module asks again.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -22,18 +22,21 @@
 pub struct Agent {
     pub site: Site,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    pub discovery: Cell<SocketAddr>,
+    pub platform: Cell<Option<SocketAddr>>,
     pub clock: Rc<Clock>,
     pub counters: Rc<Counters>,
     pub life: Life,
     pub hand: Hand,
     pub sockets: Sockets,
-    pub buffers_most: usize,
+    pub buffers_most: Cell<usize>,
     pub tasks: LocalExecutor<'static>,
     pub watch_due: Cell<bool>,
     pub watch: Event,
     pub vote: RefCell<Option<(Vote, Duration)>>, // cast, and not yet written
     pub voted: Event,
+    moves: Cell<u64>, // how often the parties' addresses were read anew
+    moved: Event,
     first_list: Event,
     list: RefCell<List>,
     pools: RefCell<Pools>,
@@ -44,18 +47,21 @@
         let (clock, counters) = (Rc::new(Clock::start()), Rc::new(Counters::default()));
         let agent = Rc::new(Agent {
             listen: start.listen,
-            discovery: start.discovery,
+            discovery: Cell::new(start.discovery),
+            platform: Cell::new(start.platform),
             hand: Hand::new(start.site.deployment.clone(), clock.clone(), counters.clone()),
             clock,
             counters,
             life: Life::start(),
             sockets: Sockets::new(start.sockets),
-            buffers_most: start.memory / 4,
+            buffers_most: Cell::new(start.memory / 4),
             tasks: LocalExecutor::new(),
             watch_due: Cell::default(),
             watch: Event::new(),
             vote: RefCell::default(),
             voted: Event::new(),
+            moves: Cell::default(),
+            moved: Event::new(),
             first_list: Event::new(),
             list: RefCell::default(),
             pools: RefCell::new(Pools::new(start.site.idle_most)),
@@ -70,6 +76,36 @@
         agent
     }
 
+    /// Goes on under a configuration that was read anew. Its list and news are no newer than what discovery
+    /// and the platform tell at their new addresses; what only a restart can change is named and stays.
+    pub fn renew(&self, start: Start) {
+        log::info!("{}: a new configuration; discovery at {}", start.name, start.discovery);
+        if start.listen != self.listen {
+            log::warn!("field listen: {} stays until a restart", self.listen);
+        }
+        if !start.site.same(&self.site) {
+            log::warn!("field settings: those read at the start stay until a restart");
+        }
+        self.discovery.set(start.discovery);
+        self.platform.set(start.platform);
+        self.sockets.resize(start.sockets);
+        self.buffers_most.set(start.memory / 4);
+        self.life.renew(1 + usize::from(start.platform.is_some()));
+        self.moves.set(self.moves.get() + 1);
+        self.moved.notify(usize::MAX);
+    }
+
+    pub fn moves(&self) -> u64 {
+        self.moves.get()
+    }
+
+    /// Ready once the addresses were read anew more often than `seen`.
+    pub async fn moved(&self, seen: u64) {
+        while self.moves.get() == seen {
+            self.moved.listen().await;
+        }
+    }
+
     pub fn news(&self, t: Told) {
         let began = self.clock.now().saturating_sub(t.age);
         self.hand.news(News { build: t.build, stage: t.stage, phase: t.phase, cap: t.cap, began });
--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -120,7 +120,7 @@
 /// Reads on. Between commands the agent may end the connection: false then, and when the client has left.
 async fn more(agent: &Agent, client: &mut Connection) -> bool {
     // Clients are held back while too much is buffered; answers of appliances keep the rest of the memory.
-    while Weight::held() > agent.buffers_most {
+    while Weight::held() > agent.buffers_most.get() {
         Timer::after(HELD_BACK).await;
     }
     if !client.inbox.is_empty() {
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -12,21 +12,35 @@
 const OVERDUE: Duration = Duration::from_secs(2);
 
 pub async fn run(agent: &Agent) {
+    let (mut moves, mut owes) = (agent.moves(), false);
     loop {
-        while !agent.watch_due.take() {
-            agent.watch.listen().await;
-        }
-        if let Err(what) = watch(agent).await {
+        let due = async {
+            while !agent.watch_due.take() {
+                agent.watch.listen().await;
+            }
+        };
+        due.or(agent.moved(moves)).await;
+        owes |= agent.moves() != moves;
+        moves = agent.moves();
+        let moved = async {
+            agent.moved(moves).await;
+            malformed("its address has changed")
+        };
+        // A change of the address ends the old watch and is no failure: the whole list is asked for at once.
+        if let Err(what) = moved.or(watch(agent, &mut owes)).await {
             log::debug!("discovery: {what}");
         }
-        agent.hand.list_failed();
+        if agent.moves() == moves {
+            agent.hand.list_failed();
+        }
     }
 }
 
-/// The whole list first, then what changes, for as long as the connection holds.
-async fn watch(agent: &Agent) -> Result<(), Malformed> {
+/// The whole list first, then what changes, for as long as the connection holds. `owes` while it was not yet
+/// heard at its new address.
+async fn watch(agent: &Agent, owes: &mut bool) -> Result<(), Malformed> {
     let mut connection = within(agent, OVERDUE, async {
-        Connection::open(agent.discovery).await.map_err(|e| Malformed(e.to_string()))
+        Connection::open(agent.discovery.get()).await.map_err(|e| Malformed(e.to_string()))
     })
     .await?;
     let mut path = listing::LIST.to_owned();
@@ -34,6 +48,9 @@
     loop {
         let told = within(agent, wait + OVERDUE, ask(agent, &mut connection, &path)).await?;
         agent.listed(told);
+        if std::mem::take(owes) {
+            agent.life.heard();
+        }
         wait = HOLD;
         path = listing::watch(agent.version(), HOLD.as_millis() as u64);
     }
@@ -41,7 +58,7 @@
 
 async fn ask(agent: &Agent, connection: &mut Connection, path: &str) -> Result<Listing, Malformed> {
     let broken = |e: std::io::Error| Malformed(e.to_string());
-    connection.write(&http::get(&agent.discovery.to_string(), path)).await.map_err(broken)?;
+    connection.write(&http::get(&agent.discovery.get().to_string(), path)).await.map_err(broken)?;
     let mut ended = false;
     loop {
         if let Some(answer) = http::answer(connection.inbox.unread(), ended)? {
--- a/crates/agent/src/lifecycle/life.rs
+++ b/crates/agent/src/lifecycle/life.rs
@@ -17,6 +17,8 @@
     /// Nothing to serve from is known yet: clients wait.
     Starting,
     Serving,
+    /// Serving on under a configuration read anew, until each party was heard at its new address.
+    Renewing,
     /// SIGTERM has come: all is served as before, for those who do not know yet.
     Leaving,
     /// No new clients; what is in hand is answered, and each connection ends once it is idle.
@@ -27,6 +29,7 @@
 pub struct Life {
     phase: Cell<Phase>,
     changed: Event,
+    awaited: Cell<usize>,                // parties not yet heard at their new addresses
     idle: RefCell<BTreeMap<u64, Idler>>, // clients between commands, the longest idle first
     idled: Cell<u64>,
 }
@@ -55,12 +58,30 @@
         Life {
             phase: Cell::new(Phase::Starting),
             changed: Event::new(),
+            awaited: Cell::default(),
             idle: RefCell::default(),
             idled: Cell::default(),
         }
     }
 
-    /// Goes on to a later phase; never back.
+    /// A new configuration was read, also while another is under way: so many parties move.
+    pub fn renew(&self, parties: usize) {
+        self.awaited.set(parties);
+        if self.phase.get() == Phase::Serving {
+            self.reach(Phase::Renewing);
+        }
+    }
+
+    /// One more party was heard at its new address.
+    pub fn heard(&self) {
+        self.awaited.set(self.awaited.get().saturating_sub(1));
+        if self.awaited.get() == 0 && self.phase.get() == Phase::Renewing {
+            log::info!("phase: {:?}", Phase::Serving);
+            self.phase.set(Phase::Serving);
+        }
+    }
+
+    /// Goes on to a later phase; back only from a new configuration.
     pub fn reach(&self, phase: Phase) {
         if phase > self.phase.get() {
             log::info!("phase: {phase:?}");
--- a/crates/agent/src/lifecycle/mod.rs
+++ b/crates/agent/src/lifecycle/mod.rs
@@ -1,4 +1,5 @@
-//! Start and stop: what is read at the start, and the phases from there to the exit.
+//! Start, new configuration and stop: what is read, the signals, and the phases from start to exit.
 
 pub mod life;
+pub mod signals;
 pub mod start;
--- /dev/null
+++ b/crates/agent/src/lifecycle/signals.rs
@@ -0,0 +1,62 @@
+//! What the operator asks for by signals: the counters, a new configuration, the end.
+
+use super::life::{Phase, LEAST_EXPIRY, LEAVING};
+use super::start::Start;
+use crate::agent::Agent;
+use crate::reactor::Timer;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often it is looked whether signals have come.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Signals that have come. Registered before anything else is done: each would end the program.
+pub struct Signals {
+    term: Arc<AtomicBool>,
+    usr1: Arc<AtomicBool>,
+    hup: Arc<AtomicBool>,
+}
+
+impl Signals {
+    pub fn new() -> io::Result<Signals> {
+        let flag = |signals: &[i32]| {
+            let flag = Arc::new(AtomicBool::new(false));
+            let registered = signals.iter().map(|s| signal_hook::flag::register(*s, flag.clone()));
+            registered.collect::<io::Result<Vec<_>>>().map(|_| flag)
+        };
+        Ok(Signals { term: flag(&[SIGTERM, SIGINT])?, usr1: flag(&[SIGUSR1])?, hup: flag(&[SIGHUP])? })
+    }
+}
+
+/// SIGUSR1 prints the counters, SIGHUP reads the configuration again, also on the way out; SIGTERM takes the
+/// program through its last phases.
+pub async fn obey(agent: &Agent, signals: Signals) {
+    let mut asked = None;
+    loop {
+        if signals.usr1.swap(false, Ordering::Relaxed) {
+            log::info!("{}", agent.counters);
+        }
+        if signals.hup.swap(false, Ordering::Relaxed) {
+            match Start::read() {
+                Ok(start) => agent.renew(start),
+                Err(fault) => log::error!("{fault}; the configuration read before stays"),
+            }
+        }
+        let now = agent.clock.now();
+        if asked.is_none() && signals.term.load(Ordering::Relaxed) {
+            asked = Some(now);
+            agent.life.reach(Phase::Leaving);
+        }
+        if let Some(closes) = asked.map(|at| at + LEAVING).filter(|at| now >= *at) {
+            agent.life.reach(Phase::Closing);
+            let last = closes + agent.site.longest_expiry.max(LEAST_EXPIRY);
+            if agent.sockets.clients() == 0 || now >= last {
+                return agent.life.reach(Phase::Stopped);
+            }
+        }
+        Timer::after(if asked.is_some() { LOOK / 4 } else { LOOK }).await;
+    }
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,16 +1,14 @@
 //! The real agent: the decisions of `tulipwall` on sockets. One thread, one `Choice`.
 
 use futures_lite::future::{self, FutureExt};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use std::io;
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 use tulipwall_agent::agent::Agent;
-use tulipwall_agent::lifecycle::life::{Phase, LEAST_EXPIRY, LEAVING};
+use tulipwall_agent::lifecycle::life::Phase;
+use tulipwall_agent::lifecycle::signals::{self, Signals};
 use tulipwall_agent::lifecycle::start::Start;
 use tulipwall_agent::memory::pools::Slot;
 use tulipwall_agent::reactor::{Source, Timer};
@@ -26,14 +24,14 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let start = match Start::read() {
-        Ok(start) => start,
+    let read = Signals::new().map_err(|e| format!("signals: {e}"));
+    let (signals, start) = match read.and_then(|signals| Ok((signals, Start::read()?))) {
+        Ok(both) => both,
         Err(fault) => {
             log::error!("{fault}");
             return ExitCode::FAILURE;
         }
     };
-    let platform = start.platform;
     log::info!("{}: listening on {}", start.name, start.listen);
     let agent = Agent::start(start);
     let run = async {
@@ -41,17 +39,14 @@
             .map_err(|e| io::Error::new(e.kind(), format!("field listen: {}: {e}", agent.listen)))?;
         listener.set_nonblocking(true)?;
         let listener = Rc::new(Source::new(listener)?);
-        let signals = Signals::new()?;
         let a = agent.clone();
         agent.tasks.spawn(async move { discovery::run(&a).await }).detach();
-        if let Some(address) = platform {
-            let a = agent.clone();
-            agent.tasks.spawn(async move { platform::run(&a, address).await }).detach();
-        }
+        let a = agent.clone();
+        agent.tasks.spawn(async move { platform::run(&a).await }).detach();
         let a = agent.clone();
         agent.tasks.spawn(async move { watch(&a).await }).detach();
         let a = agent.clone();
-        agent.tasks.spawn(async move { obey(&a, signals).await }).detach();
+        agent.tasks.spawn(async move { signals::obey(&a, signals).await }).detach();
         let a = agent.clone();
         let ready = async move {
             delivery::warm(&a).await;
@@ -129,23 +124,6 @@
     }
 }
 
-/// Signals that have come, looked at in short intervals.
-struct Signals {
-    term: Arc<AtomicBool>,
-    usr1: Arc<AtomicBool>,
-}
-
-impl Signals {
-    fn new() -> io::Result<Signals> {
-        let (term, usr1) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-        for signal in [SIGTERM, SIGINT] {
-            signal_hook::flag::register(signal, term.clone())?;
-        }
-        signal_hook::flag::register(SIGUSR1, usr1.clone())?;
-        Ok(Signals { term, usr1 })
-    }
-}
-
 /// Asks the module what is due, when it says so.
 async fn watch(agent: &Agent) {
     let mut swept = Duration::ZERO;
@@ -170,22 +148,3 @@
         agent.until(due.until).await;
     }
 }
-
-/// SIGUSR1 prints the counters; SIGTERM takes the program through its last phases.
-async fn obey(agent: &Agent, signals: Signals) {
-    while !signals.term.load(Ordering::Relaxed) {
-        if signals.usr1.swap(false, Ordering::Relaxed) {
-            log::info!("{}", agent.counters);
-        }
-        Timer::after(Duration::from_millis(20)).await;
-    }
-    let asked = agent.clock.now();
-    agent.life.reach(Phase::Leaving);
-    agent.until(asked + LEAVING).await;
-    agent.life.reach(Phase::Closing);
-    let last = asked + LEAVING + agent.site.longest_expiry.max(LEAST_EXPIRY);
-    while agent.sockets.clients() > 0 && agent.clock.now() < last {
-        Timer::after(Duration::from_millis(5)).await;
-    }
-    agent.life.reach(Phase::Stopped);
-}
--- a/crates/agent/src/memory/pools.rs
+++ b/crates/agent/src/memory/pools.rs
@@ -24,17 +24,17 @@
 /// The sockets towards one side, and the bound on them.
 struct Side {
     held: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
     freed: Event,
 }
 
 impl Side {
     fn of(most: usize) -> Rc<Side> {
-        Rc::new(Side { held: Cell::default(), most, freed: Event::new() })
+        Rc::new(Side { held: Cell::default(), most: Cell::new(most), freed: Event::new() })
     }
 
     fn slot(self: &Rc<Side>) -> Option<Slot> {
-        (self.held.get() < self.most).then(|| {
+        (self.held.get() < self.most.get()).then(|| {
             self.held.set(self.held.get() + 1);
             Slot(self.clone())
         })
@@ -50,10 +50,18 @@
 
 impl Sockets {
     pub fn new(most: usize) -> Sockets {
+        let sockets = Sockets { clients: Side::of(0), beyond: Side::of(0), appliances: Side::of(0) };
+        sockets.resize(most);
+        sockets
+    }
+
+    /// Another bound on all. Who holds a socket beyond a lower one keeps it.
+    pub fn resize(&self, most: usize) {
         let beyond = (most / 32).max(2);
         let room = most.saturating_sub(OTHERS + beyond).max(4);
-        let clients = Side::of(room - room / 4);
-        Sockets { clients, beyond: Side::of(beyond), appliances: Side::of(room / 4) }
+        self.beyond.most.set(beyond);
+        self.clients.most.set(room - room / 4);
+        self.appliances.most.set(room / 4);
     }
 
     /// A place for a client that is only told that there is none.
@@ -72,13 +80,13 @@
     /// Ready once a client's slot may be free.
     pub async fn client_gone(&self) {
         let freed = self.clients.freed.listen();
-        if self.clients.held.get() >= self.clients.most {
+        if self.clients.held.get() >= self.clients.most.get() {
             freed.await;
         }
     }
 
     pub fn appliances_most(&self) -> usize {
-        self.appliances.most
+        self.appliances.most.get()
     }
 
     pub fn appliance(&self) -> Option<Slot> {
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -1,37 +1,88 @@
-//! The one connection to the platform, for what it tells and for votes.
+//! The conversation with the platform: what it tells, and votes. One connection at a time, but for an old one
+//! that is heard out once the address has changed.
 
 use crate::agent::Agent;
 use crate::wire::connection::Connection;
 use crate::wire::platform::{self, Line};
 use crate::wire::Malformed;
 use futures_lite::FutureExt;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::Reply;
 
 /// A sign of life is due every second: without one for as long as this the connection is opened anew.
 const SILENT: Duration = Duration::from_millis(3500);
 const PAUSE: Duration = Duration::from_secs(1);
+/// What still comes on an old connection after the address has changed.
+const HEARD_OUT: Duration = Duration::from_secs(2);
 
-pub async fn run(agent: &Agent, address: SocketAddr) {
-    let mut calls = Calls { next: 1, vote: None };
+/// The calls on all connections: their numbers never meet.
+#[derive(Default)]
+struct Calls {
+    last: Cell<u64>,
+    vote: Cell<Option<u64>>, // the one that is out
+    owes: Cell<bool>,        // the platform was not yet heard at its new address
+}
+
+impl Calls {
+    fn next(&self) -> u64 {
+        self.last.set(self.last.get() + 1);
+        self.last.get()
+    }
+}
+
+/// A connection to the platform.
+struct Talk {
+    connection: Connection,
+    vote: Option<u64>, // the last one written here
+}
+
+pub async fn run(agent: &Rc<Agent>) {
+    let calls = Rc::new(Calls::default());
     loop {
-        let what = converse(agent, address, &mut calls).await;
+        let moves = agent.moves();
+        let Some(address) = agent.platform.get() else {
+            agent.moved(moves).await;
+            calls.owes.set(true);
+            continue;
+        };
+        let mut talk = None;
+        let moved = async {
+            agent.moved(moves).await;
+            "its address has changed".to_owned()
+        };
+        let what = moved.or(converse(agent, address, &calls, &mut talk)).await;
         log::debug!("platform: {what}");
+        if agent.moves() != moves {
+            // At once, and the old connection is heard out meanwhile: what it tells is not told again.
+            calls.owes.set(true);
+            if let Some(talk) = talk {
+                let (agent, calls) = (agent.clone(), calls.clone());
+                agent.clone().tasks.spawn(async move { hear_out(&agent, talk, &calls).await }).detach();
+            }
+            continue;
+        }
         agent.counters.platform_ends.add();
-        // A vote that was written may count; one that was not never will.
-        if calls.vote.take().is_some() {
-            agent.hand.reply(Reply::Unknown);
-        } else if agent.vote.take().is_some() {
+        if let Some(talk) = talk {
+            lost(agent, &talk, &calls);
+        }
+        if calls.vote.get().is_none() && agent.vote.take().is_some() {
+            // It was not written and never will count.
             agent.hand.reply(Reply::Refused);
         }
-        agent.until(agent.clock.now() + PAUSE).await;
+        agent.moved(moves).or(agent.until(agent.clock.now() + PAUSE)).await;
+        calls.owes.set(calls.owes.get() || agent.moves() != moves);
     }
 }
 
-struct Calls {
-    next: u64,
-    vote: Option<u64>, // the one that is out
+/// A vote that was written may count, though its answer will not come.
+fn lost(agent: &Agent, talk: &Talk, calls: &Calls) {
+    if talk.vote.is_some() && calls.vote.get() == talk.vote {
+        calls.vote.set(None);
+        agent.hand.reply(Reply::Unknown);
+    }
 }
 
 enum Next {
@@ -41,34 +92,40 @@
 }
 
 /// Runs until the connection ends or falls silent; says why.
-async fn converse(agent: &Agent, address: SocketAddr, calls: &mut Calls) -> String {
+async fn converse(agent: &Agent, address: SocketAddr, calls: &Calls, talk: &mut Option<Talk>) -> String {
     let late = async {
         agent.until(agent.clock.now() + SILENT).await;
         Err(std::io::ErrorKind::TimedOut.into())
     };
-    let mut connection = match Connection::open(address).or(late).await {
+    let connection = match Connection::open(address).or(late).await {
         Ok(connection) => connection,
         Err(e) => return e.to_string(),
     };
-    calls.next += 1;
-    if let Err(e) = connection.write(platform::watch(calls.next - 1).as_bytes()).await {
+    let talk = talk.insert(Talk { connection, vote: None });
+    if let Err(e) = talk.connection.write(platform::watch(calls.next()).as_bytes()).await {
         return e.to_string();
     }
     let mut quiet_until = agent.clock.now() + SILENT;
     loop {
-        if let Err(garbage) = lines(agent, &mut connection, calls) {
-            log::warn!("platform: {garbage}; its connection is closed");
-            return garbage.to_string();
+        match lines(agent, talk, calls, true) {
+            Ok(0) => {}
+            Ok(_) if calls.owes.take() => agent.life.heard(),
+            Ok(_) => {}
+            Err(garbage) => {
+                log::warn!("platform: {garbage}; its connection is closed");
+                return garbage.to_string();
+            }
         }
         if let Some((vote, cast)) = agent.vote.take() {
             // One that waited for its connection for as long as an answer may take is cast anew.
             if agent.clock.now() < cast + agent.site.deployment.rollout.vote_wait {
-                calls.next += 1;
-                if let Err(e) = connection.write(platform::vote(calls.next - 1, &vote).as_bytes()).await {
+                let id = calls.next();
+                if let Err(e) = talk.connection.write(platform::vote(id, &vote).as_bytes()).await {
                     agent.hand.reply(Reply::Refused);
                     return e.to_string();
                 }
-                calls.vote = Some(calls.next - 1);
+                talk.vote = Some(id);
+                calls.vote.set(Some(id));
                 agent.counters.votes.add();
             }
         }
@@ -76,7 +133,7 @@
         if agent.vote.borrow().is_some() {
             continue;
         }
-        let heard = async { connection.more().await.map(Next::Heard) };
+        let heard = async { talk.connection.more().await.map(Next::Heard) };
         let vote = async {
             voted.await;
             Ok(Next::Vote)
@@ -95,28 +152,43 @@
     }
 }
 
-/// Tells the module all whole lines that have come in.
-fn lines(agent: &Agent, connection: &mut Connection, calls: &mut Calls) -> Result<(), Malformed> {
-    while let Some((bytes, took)) = platform::split(connection.inbox.unread())? {
+/// Hears an old connection to its end: the answer to a vote, and what was told before the new one was open.
+async fn hear_out(agent: &Agent, mut talk: Talk, calls: &Calls) {
+    let heard = async {
+        while lines(agent, &mut talk, calls, calls.owes.get()).is_ok()
+            && talk.connection.more().await.is_ok_and(|n| n > 0)
+        {}
+    };
+    heard.or(agent.until(agent.clock.now() + HEARD_OUT)).await;
+    lost(agent, &talk, calls);
+}
+
+/// Tells the module all whole lines that have come in; only the answer to its vote unless `all`. How
+/// many there were.
+fn lines(agent: &Agent, talk: &mut Talk, calls: &Calls, all: bool) -> Result<usize, Malformed> {
+    let mut count = 0;
+    while let Some((bytes, took)) = platform::split(talk.connection.inbox.unread())? {
         let line = platform::line(bytes)?;
-        connection.inbox.consume(took);
+        talk.connection.inbox.consume(took);
+        count += 1;
         match line {
-            Line::News(told) => agent.news(told),
-            Line::Flag { appliance, lane, age } => {
+            Line::News(told) if all => agent.news(told),
+            Line::Flag { appliance, lane, age } if all => {
                 if let (Some(a), Some(l)) = (agent.appliance(&appliance), agent.site.lane(&lane)) {
                     agent.hand.flag(a, l, age);
                 }
             }
             Line::Answer { id, reply, told } => {
-                if let Some(told) = told {
+                if let Some(told) = told.filter(|_| all) {
                     agent.news(told);
                 }
-                if calls.vote.take_if(|v| *v == id).is_some() {
+                if calls.vote.get() == Some(id) {
+                    calls.vote.set(None);
                     agent.hand.reply(reply);
                 }
             }
-            Line::SignOfLife => {}
+            Line::News(_) | Line::Flag { .. } | Line::SignOfLife => {}
         }
     }
-    Ok(())
+    Ok(count)
 }
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -80,13 +80,20 @@
 
 /// Discovery and the platform, which take connections and say what they are given.
 fn speaks(what: String) -> String {
+    hears(what, channel().0)
+}
+
+/// The same; what is asked first on each connection goes to `asked`.
+fn hears(what: String, asked: Sender<String>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     thread::spawn(move || {
         for stream in listener.incoming() {
-            let (mut stream, what) = (stream.unwrap(), what.clone());
+            let (mut stream, what, asked) = (stream.unwrap(), what.clone(), asked.clone());
             thread::spawn(move || {
-                let _ = stream.read(&mut [0; 1024]);
+                let mut first = [0; 1024];
+                let got = stream.read(&mut first).unwrap_or_default();
+                let _ = asked.send(String::from_utf8_lossy(&first[..got]).into());
                 let _ = stream.write_all(what.as_bytes());
                 thread::sleep(SOON);
             });
@@ -117,18 +124,24 @@
             "vote-ttl-ms": 10000.0, "vote-wait-ms": 800.0}})
 }
 
+/// Discovery's answer with this list.
+fn told(entries: &[(&str, &str)]) -> String {
+    let body = list(entries).to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
 struct Agent {
     child: Child,
     address: String,
+    path: std::path::PathBuf,
+    start: Value,
 }
 
 impl Agent {
     fn start(case: &str, entries: &[(&str, &str)], sockets: usize) -> Agent {
         let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
         let news = json!({"image": 41, "ring": 1, "progress": "released", "ceiling": 1.0, "lag_ms": 0});
-        let body = list(entries).to_string();
-        let discovery = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        let start = json!({"name": case, "listen": free, "discovery": speaks(discovery), "seed": "8c1f",
+        let start = json!({"name": case, "listen": free, "discovery": speaks(told(entries)), "seed": "8c1f",
             "limits": {"sockets": sockets}, "known": list(entries), "settings": settings(),
             "deployer": {"address": speaks("not a line of JSON\n".into()), "news": news}});
         let path = std::env::temp_dir().join(format!("tulipwall-{case}-{}.json", std::process::id()));
@@ -138,7 +151,18 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        Agent { child, address: free }
+        Agent { child, address: free, path, start }
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Replaces the configuration and says so.
+    fn renew(&self, text: &str) {
+        std::fs::write(&self.path, text).unwrap();
+        self.signal("-HUP");
     }
 
     fn client(&self) -> Client {
@@ -298,8 +322,9 @@
     let mut client = agent.client();
     client.ask("payment", 1500);
     sees.recv_timeout(SOON).unwrap();
-    let term = Command::new("kill").args(["-TERM", &agent.child.id().to_string()]).status().unwrap();
-    assert!(term.success());
+    agent.signal("-TERM");
+    // A new configuration on the way out ends nothing.
+    agent.renew(&agent.start.to_string());
     // New clients still come for a while.
     let mut late = agent.client();
     late.ask("view", 1500);
@@ -307,6 +332,42 @@
     assert!(agent.child.wait().unwrap().success());
 }
 
+#[test]
+fn a_new_configuration_moves_discovery_and_platform_while_commands_are_served() {
+    let ((seen, sees), (other, others)) = (channel(), channel());
+    let (one, two) = (appliance(Ways::Answers, seen), appliance(Ways::Answers, other));
+    let mut agent = Agent::start("renew", &[(&one, "in_service")], 1024);
+    let mut client = agent.client();
+    let mut serve = |until: &dyn Fn() -> bool| {
+        let begun = Instant::now();
+        while !until() {
+            assert!(begun.elapsed() < SOON);
+            client.ask("view", 1000);
+            assert_eq!(client.told(), None);
+        }
+    };
+    serve(&|| sees.try_iter().count() > 0);
+    // A faulty file changes nothing.
+    agent.renew("{\"seed\": \"1\"");
+    thread::sleep(Duration::from_millis(100));
+    serve(&|| sees.try_iter().count() > 0);
+    // Several in a row: the last one counts. The list that is told there has the first appliance no more.
+    let ((lists, list_asked), (watches, watched)) = (channel(), channel());
+    agent.start["discovery"] =
+        hears(told(&[("127.0.0.1:1", "terminated"), (&two, "in_service")]), lists).into();
+    agent.start["deployer"]["address"] = hears("{\"method\":\"ping\"}\n".into(), watches).into();
+    let mut between = agent.start.clone();
+    between["discovery"] = "127.0.0.1:1".into();
+    agent.renew(&between.to_string());
+    agent.renew(&agent.start.to_string());
+    serve(&|| others.try_iter().count() > 0);
+    assert!(list_asked.recv_timeout(SOON).unwrap().starts_with("GET /api/targets HTTP/1.1"));
+    assert!(watched.recv_timeout(SOON).unwrap().contains("Events.Watch"));
+    sees.try_iter().for_each(drop);
+    serve(&|| others.try_iter().count() > 0);
+    assert_eq!(sees.try_iter().count(), 0);
+}
+
 #[test]
 fn at_the_descriptor_limit_it_goes_on_serving() {
     let (seen, _sees) = channel();
--- a/crates/deployment/src/fields.rs
+++ b/crates/deployment/src/fields.rs
@@ -3,6 +3,7 @@
 use serde_json::{Map, Value};
 use std::time::Duration;
 
+#[derive(Debug)]
 pub struct Fields<'a>(&'a Map<String, Value>);
 
 impl<'a> Fields<'a> {
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -1,8 +1,10 @@
 //! The one place where a deployment's settings are read, checked and given defaults. A fault names its key.
 
 mod fields;
+mod instance;
 
 pub use fields::{millis, span, Fields};
+pub use instance::Instance;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -140,6 +142,16 @@
         })
     }
 
+    /// Whether the settings say the same; the seed is another at each reading.
+    pub fn same(&self, other: &Site) -> bool {
+        let text = |s: &Site| {
+            let (mut d, names) = (s.deployment.clone(), (&s.lanes, &s.customers, &s.zones));
+            d.seed = 0;
+            format!("{d:?} {names:?} {:?} {:?} {:?}", s.connect_within, s.idle_most, s.longest_expiry)
+        };
+        text(self) == text(other)
+    }
+
     pub fn lane(&self, name: &str) -> Option<usize> {
         self.lanes.iter().position(|l| l == name)
     }
