Spoilt answers are told by their first bytes; half ones are not waited for

Checked: the log named only messages of wrong tag or length (delivery.rs, hear). Passed on were rows whose column length did not fit the row (postgres.rs, Hearing::hear looked at the number of columns alone). Ruled out: second copies behind answers reaching the next command (rule on lost commands kept; the pool's peek finds them). At fault besides: a verdict was kept though what followed was garbage (delivery.rs, 53300 then 'never ran'); half a list was awaited as long as a watch (discovery.rs, 22 s), half a line for 3.5 s; an unknown method passed as a sign of life, an unknown error as refused, left out keys as defaults (wire/platform.rs, wire/listing.rs); the platform was reopened after 1 s though nothing told meanwhile is told again (platform.rs, PAUSE). Now: tag, length and the column's length are checked before the rest is awaited; rest within 0.5 s; the pool gives the longest idle connection, whose leftovers have arrived; the platform is reopened at once where it spoke. May harm: an answer held up on its way for 0.5 s after it began is given up.

--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -14,6 +14,9 @@
 use std::time::Duration;
 use tulipwall::Outcome;
 
+/// How soon the rest of an answer that has begun must come.
+const REST_WITHIN: Duration = Duration::from_millis(500);
+
 /// What was decided, and the news it was decided on.
 #[derive(Clone, Copy)]
 pub struct Order {
@@ -62,20 +65,24 @@
     written.set(true);
     agent.counters.sent.add();
     let mut hearing = Hearing::default();
-    let ended = hear(&mut held.connection, &mut hearing).await;
-    let outcome = match hearing.verdict {
-        Some(Verdict::Value) => Outcome::Satisfied,
-        Some(Verdict::Failed) => Outcome::Failed,
-        Some(Verdict::TurnedAway) => Outcome::TurnedAway,
-        None => Outcome::Broken,
+    let ended = hear(agent, &mut held.connection, &mut hearing).await;
+    // A spoilt answer says nothing, not even that the command never ran.
+    let outcome = match (&ended, hearing.verdict) {
+        (Err(Heard::Garbage(_)), _) | (_, None) => Outcome::Broken,
+        (_, Some(Verdict::Value)) => Outcome::Satisfied,
+        (_, Some(Verdict::Failed)) => Outcome::Failed,
+        (_, Some(Verdict::TurnedAway)) => Outcome::TurnedAway,
     };
     match ended {
-        Ok(()) if hearing.verdict.is_some() => agent.keep(order.target, held),
+        // What comes behind an answer belongs to nobody, and would be heard as the next command's.
+        Ok(()) if held.connection.inbox.is_empty() => agent.keep(order.target, held),
+        Ok(()) => agent.counters.unasked.add(),
         Err(Heard::Garbage(m)) => {
+            agent.counters.spoilt.add();
             let name = agent.appliance_name(order.target.appliance);
-            log::warn!("appliance {name}: {m}; its connection is closed");
+            log::debug!("appliance {name}: {m}; its connection is closed");
         }
-        _ => {}
+        Err(Heard::End) => {}
     }
     (outcome, hearing.value)
 }
@@ -92,22 +99,32 @@
 }
 
 /// Hears messages until the connection is ready for the next query.
-async fn hear(connection: &mut Connection, hearing: &mut Hearing) -> Result<(), Heard> {
+async fn hear(agent: &Agent, connection: &mut Connection, hearing: &mut Hearing) -> Result<(), Heard> {
     loop {
         let bytes = connection.inbox.unread();
-        match postgres::message(bytes).map_err(Heard::Garbage)? {
-            Some((tag, body, took)) => {
-                let ready = hearing.hear(tag, body, &bytes[..took]).map_err(Heard::Garbage)?;
-                connection.inbox.consume(took);
-                if ready {
-                    return Ok(());
-                }
-            }
-            None => {
-                if connection.more().await? == 0 {
-                    return Err(Heard::End);
-                }
+        if let Some((tag, body, took)) = postgres::answer(bytes).map_err(Heard::Garbage)? {
+            let ready = hearing.hear(tag, body, &bytes[..took]).map_err(Heard::Garbage)?;
+            connection.inbox.consume(took);
+            if ready {
+                return Ok(());
             }
+            continue;
+        }
+        // Guards against an answer that stops short of its end. A whole one comes at once, however large; one
+        // whose rest was held up on its way for as long is given up, too.
+        let begun = hearing.begun() || !connection.inbox.is_empty();
+        let more = async { connection.more().await.map_err(Heard::from) };
+        let got = if begun {
+            let late = async {
+                agent.until(agent.clock.now() + REST_WITHIN).await;
+                Err(Heard::Garbage(Malformed("an answer without its end".into())))
+            };
+            more.or(late).await?
+        } else {
+            more.await?
+        };
+        if got == 0 {
+            return Err(Heard::End);
         }
     }
 }
@@ -130,7 +147,7 @@
         let startup = postgres::startup("worker", "catalog");
         connection.write(&startup).await.map_err(|_| Outcome::NoConnection)?;
         let mut hearing = Hearing::default();
-        let heard = hear(&mut connection, &mut hearing).await;
+        let heard = hear(agent, &mut connection, &mut hearing).await;
         match (heard, hearing.verdict) {
             (_, Some(Verdict::TurnedAway)) => Err(Outcome::TurnedAway),
             (Ok(()), None) => Ok(connection),
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -10,6 +10,8 @@
 /// How long discovery may hold a watch without news: what it has to tell is overdue 2 s later.
 const HOLD: Duration = Duration::from_secs(20);
 const OVERDUE: Duration = Duration::from_secs(2);
+/// How soon the rest of an answer that has begun must come.
+const REST_WITHIN: Duration = Duration::from_millis(500);
 
 pub async fn run(agent: &Agent) {
     let (mut moves, mut owes) = (agent.moves(), false);
@@ -78,7 +80,11 @@
         if ended {
             return malformed("it ended within an answer");
         }
-        ended = connection.more().await.map_err(broken)? == 0;
+        // Guards against an answer that stops short of its end, which would be waited for as long as a watch.
+        let begun = !connection.inbox.is_empty();
+        let more = async { connection.more().await.map_err(broken) };
+        let got = if begun { within(agent, REST_WITHIN, more).await? } else { more.await? };
+        ended = got == 0;
     }
 }
 
--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -31,6 +31,8 @@
     pub reused: Count,
     pub gone_idle: Count, // connections found closed by the appliance while idle
     pub sent: Count,
+    pub spoilt: Count,  // answers that could not be read
+    pub unasked: Count, // connections closed for what came behind an answer
     pub ended: [Count; 8],
     pub lists: Count,
     pub list_failures: Count,
@@ -81,6 +83,7 @@
             write!(f, " {name} {}", n(count))?;
         }
         write!(f, "; connections: opened {} reused {} ", n(&self.opened), n(&self.reused))?;
+        write!(f, "spoilt {} unasked {} ", n(&self.spoilt), n(&self.unasked))?;
         write!(f, "found_closed {}; lists: told {} ", n(&self.gone_idle), n(&self.lists))?;
         write!(f, "failed {}; platform: news {} ", n(&self.list_failures), n(&self.news))?;
         write!(f, "votes {} ended {}", n(&self.votes), n(&self.platform_ends))
--- a/crates/agent/src/memory/pools.rs
+++ b/crates/agent/src/memory/pools.rs
@@ -122,11 +122,12 @@
         Pools { idle: Vec::new(), idle_most: idle_most.mul_f64(0.8) }
     }
 
-    /// An open connection, the last used first; with how many were found closed.
+    /// An open connection, the longest idle first: what came behind its last answer has arrived by now. With
+    /// how many were found closed.
     pub fn take(&mut self, now: Duration, appliance: usize) -> (Option<Held>, usize) {
         let Some(pool) = self.idle.get_mut(appliance) else { return (None, 0) };
         let mut closed = 0;
-        while let Some(idle) = pool.pop_back() {
+        while let Some(idle) = pool.pop_front() {
             if now >= idle.since + self.idle_most {
                 continue;
             }
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -14,7 +14,11 @@
 
 /// A sign of life is due every second: without one for as long as this the connection is opened anew.
 const SILENT: Duration = Duration::from_millis(3500);
-const PAUSE: Duration = Duration::from_secs(1);
+/// How long until it is opened again: at first, doubled while nothing is heard there, and at most.
+const PAUSE: Duration = Duration::from_millis(50);
+const PAUSE_MOST: Duration = Duration::from_secs(1);
+/// How soon the rest of a line that has begun must come.
+const REST_WITHIN: Duration = Duration::from_millis(500);
 /// What still comes on an old connection after the address has changed.
 const HEARD_OUT: Duration = Duration::from_secs(2);
 
@@ -37,10 +41,12 @@
 struct Talk {
     connection: Connection,
     vote: Option<u64>, // the last one written here
+    heard: bool,       // a whole line
 }
 
 pub async fn run(agent: &Rc<Agent>) {
     let calls = Rc::new(Calls::default());
+    let mut pause = PAUSE;
     loop {
         let moves = agent.moves();
         let Some(address) = agent.platform.get() else {
@@ -65,14 +71,18 @@
             continue;
         }
         agent.counters.platform_ends.add();
+        // What is told while no connection is open is not told again: at once where it spoke, later and later
+        // where it did not.
+        let spoke = talk.as_ref().is_some_and(|t| t.heard);
+        pause = if spoke { PAUSE } else { (pause * 2).min(PAUSE_MOST) };
         if let Some(talk) = talk {
             lost(agent, &talk, &calls);
         }
-        if calls.vote.get().is_none() && agent.vote.take().is_some() {
+        if !spoke && agent.vote.take().is_some() {
             // It was not written and never will count.
             agent.hand.reply(Reply::Refused);
         }
-        agent.moved(moves).or(agent.until(agent.clock.now() + PAUSE)).await;
+        agent.moved(moves).or(agent.until(agent.clock.now() + pause)).await;
         calls.owes.set(calls.owes.get() || agent.moves() != moves);
     }
 }
@@ -101,7 +111,7 @@
         Ok(connection) => connection,
         Err(e) => return e.to_string(),
     };
-    let talk = talk.insert(Talk { connection, vote: None });
+    let talk = talk.insert(Talk { connection, vote: None, heard: false });
     if let Err(e) = talk.connection.write(platform::watch(calls.next()).as_bytes()).await {
         return e.to_string();
     }
@@ -133,13 +143,16 @@
         if agent.vote.borrow().is_some() {
             continue;
         }
+        // Guards against a line that stops short of its end, behind which nothing can be read.
+        let begun = !talk.connection.inbox.is_empty();
+        let rest = if begun { agent.clock.now() + REST_WITHIN } else { quiet_until };
         let heard = async { talk.connection.more().await.map(Next::Heard) };
         let vote = async {
             voted.await;
             Ok(Next::Vote)
         };
         let silent = async {
-            agent.until(quiet_until).await;
+            agent.until(quiet_until.min(rest)).await;
             Ok(Next::Silent)
         };
         match heard.or(vote).or(silent).await {
@@ -170,7 +183,7 @@
     while let Some((bytes, took)) = platform::split(talk.connection.inbox.unread())? {
         let line = platform::line(bytes)?;
         talk.connection.inbox.consume(took);
-        count += 1;
+        (count, talk.heard) = (count + 1, true);
         match line {
             Line::News(told) if all => agent.news(told),
             Line::Flag { appliance, lane, age } if all => {
--- a/crates/agent/src/wire/http.rs
+++ b/crates/agent/src/wire/http.rs
@@ -20,6 +20,9 @@
 
 /// One whole answer; `None` while it is not whole. `ended` once nothing more will come.
 pub fn answer(bytes: &[u8], ended: bool) -> Result<Option<Answer>, Malformed> {
+    if !bytes.iter().zip(b"HTTP/1.").all(|(b, h)| b == h) {
+        return malformed("HTTP: no status line");
+    }
     let Some(head) = bytes.windows(4).take(HEAD_MOST).position(|w| w == b"\r\n\r\n") else {
         return if bytes.len() > HEAD_MOST { malformed("HTTP: a head without end") } else { Ok(None) };
     };
--- a/crates/agent/src/wire/listing.rs
+++ b/crates/agent/src/wire/listing.rs
@@ -47,17 +47,17 @@
                 id: e.text("id")?.to_owned(),
                 address: address.parse().map_err(|_| format!("field addr: '{address}' is no address"))?,
                 zone: e.text("zone")?.to_owned(),
-                cell: e.whole_or("cell", 0)?,
-                build: u32::try_from(e.whole_or("release", 0)?).map_err(|_| "field release: too large")?,
+                cell: e.whole("cell")?,
+                build: u32::try_from(e.whole("release")?).map_err(|_| "field release: too large")?,
                 standing: match e.text("state")? {
                     "in_service" => Standing::Running,
                     "terminating" => Standing::Draining,
                     "terminated" => Standing::Gone,
                     other => return Err(format!("field state: unknown value '{other}'")),
                 },
-                started_ms: Some(e.number_or("started_ms", 0.0)? as u64).filter(|t| *t > 0),
+                started_ms: Some(e.number("started_ms")? as u64).filter(|t| *t > 0),
             });
         }
-        Ok(Listing { version: list.whole("version")?, complete: list.flag("full")?, entries })
+        Ok(Listing { version: list.whole("version")?, complete: list.truth("full")?, entries })
     }
 }
--- a/crates/agent/src/wire/platform.rs
+++ b/crates/agent/src/wire/platform.rs
@@ -7,7 +7,7 @@
 use tulipwall_deployment::Fields;
 
 /// No line of the platform's is as long.
-pub const LINE_MOST: usize = 64 * 1024;
+pub const LINE_MOST: usize = 8 * 1024;
 
 /// What the platform says of the newest build; `age` since it came to stand so.
 #[derive(Debug, PartialEq)]
@@ -54,7 +54,7 @@
 pub fn told(f: &Fields) -> Result<Told, String> {
     Ok(Told {
         build: u32::try_from(f.whole("image")?).map_err(|_| "field image: too large")?,
-        stage: f.whole_or("ring", 0)? as usize,
+        stage: f.whole("ring")? as usize,
         phase: match f.text("progress")? {
             "trial" => Phase::Trial,
             "rolling_back" => Phase::GoingBack,
@@ -62,8 +62,8 @@
             "withdrawn" => Phase::Withdrawn,
             other => return Err(format!("field progress: unknown value '{other}'")),
         },
-        cap: f.number_or("ceiling", 0.0)?,
-        age: f.span_or("lag_ms", 0.0)?,
+        cap: f.number("ceiling")?,
+        age: f.span("lag_ms")?,
     })
 }
 
@@ -76,16 +76,18 @@
             Some("DISPUTE") => {
                 let p = f.inner("params")?;
                 let (appliance, lane) = (p.text("host")?.to_owned(), p.text("type")?.to_owned());
-                Line::Flag { appliance, lane, age: p.span_or("lag_ms", 0.0)? }
+                Line::Flag { appliance, lane, age: p.span("lag_ms")? }
             }
-            _ => Line::SignOfLife,
+            Some("ping") => Line::SignOfLife,
+            _ => return malformed("line: field method: unknown value"),
         });
     }
     let id = f.whole("id")?;
     if let Some(error) = f.maybe("error") {
         let reply = match Fields::of(error, "error")?.text("message")? {
             "ConditionFailed" => Reply::Moot,
-            _ => Reply::Refused,
+            "Throttling" | "InternalFailure" | "ValidationError" => Reply::Refused,
+            _ => return malformed("line: field message: unknown value"),
         };
         return Ok(Line::Answer { id, reply, told: None });
     }
--- a/crates/agent/src/wire/postgres.rs
+++ b/crates/agent/src/wire/postgres.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 /// A value holds 64 KiB at most; written as hex digits in a statement it takes twice that.
+const VALUE_MOST: usize = 64 * 1024;
 pub const MESSAGE_MOST: usize = 160 * 1024;
 const STARTUP_MOST: usize = 10_000;
 const VERSION_3: u32 = 196_608;
@@ -147,6 +148,38 @@
     error(out, "FATAL", "08P01", &fault.0, None);
 }
 
+/// The longest message of each kind that an appliance may send; none that is not listed here belongs in an answer.
+const ANSWERS: [(u8, usize); 9] = [
+    (b'T', 1024),
+    (b'D', VALUE_MOST + 10),
+    (b'C', 256),
+    (b'Z', 5),
+    (b'E', 16 * 1024),
+    (b'N', 16 * 1024),
+    (b'S', 16 * 1024),
+    (b'K', 64),
+    (b'R', 64),
+];
+
+/// One whole message of an appliance; `None` while it is not whole. What can be no message of an answer is told
+/// by its first bytes: a value that is declared too large is not waited for.
+pub fn answer(bytes: &[u8]) -> Result<Option<Message<'_>>, Malformed> {
+    let Some(tag) = bytes.first() else { return Ok(None) };
+    let Some((_, most)) = ANSWERS.iter().find(|(t, _)| t == tag) else {
+        return malformed(format!("message '{}' out of place", tag.escape_ascii()));
+    };
+    let Some(length) = bytes.get(1..).and_then(number) else { return Ok(None) };
+    if length as usize > *most || (*tag == b'Z' && length != 5) {
+        return malformed(format!("message '{}' of {length} bytes", tag.escape_ascii()));
+    }
+    if let (b'D', Some(value)) = (tag, bytes.get(7..).and_then(number)) {
+        if value as usize + 10 != length as usize {
+            return malformed(format!("a value of {value} bytes in a row of {length}"));
+        }
+    }
+    message(bytes)
+}
+
 /// How an appliance ended a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -166,22 +199,30 @@
 }
 
 impl Hearing {
+    /// Whether something of the answer itself has come.
+    pub fn begun(&self) -> bool {
+        self.described || self.verdict.is_some()
+    }
+
     /// Takes the next message with its whole bytes; true once the connection is ready for the next query.
+    /// Notices and load reports are passed over, whatever they hold.
     pub fn hear(&mut self, tag: u8, body: &[u8], whole: &[u8]) -> Result<bool, Malformed> {
+        let open = self.verdict.is_none();
         match tag {
             b'N' | b'S' | b'K' => return Ok(false),
             b'R' if body.get(..4) == Some(&[0; 4]) => return Ok(false),
-            b'Z' if body.len() == 1 => return Ok(true),
-            b'E' => {
-                let code = field(body, b'C').unwrap_or_default();
+            // Ready within a row: the value is not whole.
+            b'Z' if matches!(body, b"I" | b"T" | b"E") && !(open && self.described) => return Ok(true),
+            b'E' if open => {
+                let Some(code) = code(body) else { return malformed("an error that can't be read") };
                 let away = code == TOO_MANY || code == CANNOT_NOW;
                 self.value = Vec::new();
                 self.verdict = Some(if away { Verdict::TurnedAway } else { Verdict::Failed });
                 return Ok(false);
             }
-            b'T' if !self.described && body.get(..2) == Some(&[0, 1]) => self.described = true,
-            b'D' if self.described && self.rows == 0 && body.get(..2) == Some(&[0, 1]) => self.rows = 1,
-            b'C' if self.rows == 1 && self.verdict.is_none() => self.verdict = Some(Verdict::Value),
+            b'T' if open && !self.described && one_column(body) => self.described = true,
+            b'D' if open && self.described && self.rows == 0 && one_value(body) => self.rows = 1,
+            b'C' if open && self.rows == 1 && named(body) => self.verdict = Some(Verdict::Value),
             _ => return malformed(format!("message '{}' out of place", tag.escape_ascii())),
         }
         self.value.extend_from_slice(whole);
@@ -189,6 +230,31 @@
     }
 }
 
+/// A description of one column: its name, then 18 bytes of numbers.
+fn one_column(body: &[u8]) -> bool {
+    let name = body.get(2..).and_then(|rest| rest.iter().position(|b| *b == 0));
+    body.get(..2) == Some(&[0, 1]) && name.is_some_and(|n| body.len() == 2 + n + 1 + 18)
+}
+
+/// A row of one value, of just the length that it says.
+fn one_value(body: &[u8]) -> bool {
+    let length = body.get(2..).and_then(number);
+    body.get(..2) == Some(&[0, 1]) && length.is_some_and(|n| body.len() - 6 == n as usize)
+}
+
+/// The words of a command that was completed.
+fn named(body: &[u8]) -> bool {
+    let word = |b: &u8| b.is_ascii_alphanumeric() || *b == b' ';
+    matches!(body.split_last(), Some((0, words)) if !words.is_empty() && words.iter().all(word))
+}
+
+/// The code of an error that is whole: fields with an end each, and an end of all.
+fn code(body: &[u8]) -> Option<&[u8]> {
+    let fields = body.strip_suffix(b"\0\0")?;
+    fields.split(|b| *b == 0).all(|f| !f.is_empty()).then_some(())?;
+    field(fields, b'C').filter(|c| c.len() == 5 && c.iter().all(u8::is_ascii_alphanumeric))
+}
+
 /// One field of an error message.
 fn field(body: &[u8], name: u8) -> Option<&[u8]> {
     body.split(|b| *b == 0).find(|f| f.first() == Some(&name)).map(|f| &f[1..])
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -22,6 +22,10 @@
     EndsAfter,
     /// Turns each query away.
     Full,
+    /// Sends a copy of its answer right behind it.
+    Twice,
+    /// Sends an answer that stops short of its end, the connection stays open.
+    Half,
     /// Takes connections and says nothing.
     Mute,
 }
@@ -67,6 +71,11 @@
                         }
                     }
                     postgres::ready(&mut out);
+                    match ways {
+                        Ways::Twice => out.extend(out.clone()),
+                        Ways::Half => out.truncate(20),
+                        _ => {}
+                    }
                     let _ = stream.write_all(&out);
                     if ways == Ways::EndsAfter {
                         return;
@@ -276,6 +285,58 @@
     assert_eq!(sees.try_iter().count(), 5);
 }
 
+#[test]
+fn what_comes_behind_an_answer_is_no_answer_to_the_next() {
+    let (seen, sees) = channel();
+    let agent = Agent::start("twice", &[(&appliance(Ways::Twice, seen), "in_service")], 1024);
+    let mut client = agent.client();
+    for n in 1..6 {
+        client.ask("payment", 1000);
+        assert_eq!((client.told(), sees.try_iter().count()), (None, 1), "command {n}");
+    }
+}
+
+#[test]
+fn a_spoilt_answer_is_a_failed_delivery_that_may_have_run() {
+    let (seen, sees) = channel();
+    let (half, whole) = (appliance(Ways::Half, seen.clone()), appliance(Ways::Answers, seen));
+    let agent = Agent::start("half", &[(&half, "in_service")], 1024);
+    let mut client = agent.client();
+    let begun = Instant::now();
+    client.ask("payment", 1500);
+    assert_eq!(client.told(), Some("XX000".into()));
+    assert!(begun.elapsed() < Duration::from_millis(1000), "its end is not waited for");
+    assert_eq!(sees.try_iter().count(), 1);
+    let agent = Agent::start("halves", &[(&half, "in_service"), (&whole, "in_service")], 1024);
+    let mut client = agent.client();
+    for _ in 0..5 {
+        client.ask("view", 1500);
+        assert_eq!(client.told(), None);
+    }
+}
+
+#[test]
+fn spoilt_lists_and_lines_are_asked_for_anew() {
+    let (seen, sees) = channel();
+    let runs = appliance(Ways::Answers, seen);
+    let mut agent = Agent::start("spoilt", &[(&runs, "in_service")], 1024);
+    agent.client();
+    let ((lists, list_asked), (watches, watched)) = (channel(), channel());
+    let half = told(&[(&runs, "terminating")]).split_at(150).0.to_owned();
+    agent.start["discovery"] = hears(half, lists).into();
+    agent.start["deployer"]["address"] = hears("{\"method\":\"ROLL".into(), watches).into();
+    agent.renew(&agent.start.to_string());
+    let begun = Instant::now();
+    for _ in 0..2 {
+        assert!(list_asked.recv_timeout(SOON).unwrap().starts_with("GET /api/targets HTTP/1.1"));
+        assert!(watched.recv_timeout(SOON).unwrap().contains("Events.Watch"));
+    }
+    assert!(begun.elapsed() < Duration::from_millis(1900));
+    let mut client = agent.client();
+    client.ask("view", 1000);
+    assert_eq!((client.told(), sees.try_iter().count()), (None, 1), "half a list says nothing");
+}
+
 #[test]
 fn what_is_turned_away_goes_to_another() {
     let (seen, sees) = channel();
--- a/crates/agent/tests/wire.rs
+++ b/crates/agent/tests/wire.rs
@@ -2,13 +2,13 @@
 
 use quickcheck::quickcheck;
 use std::time::Duration;
-use tulipwall::{Phase, Reply, Verdict, Vote};
+use tulipwall::{Phase, Reply, Vote};
 use tulipwall_agent::lifecycle::start::Start;
 use tulipwall_agent::wire::buffer::Buffer;
 use tulipwall_agent::wire::listing::Listing;
 use tulipwall_agent::wire::platform::{self, Line, Told};
-use tulipwall_agent::wire::postgres::{self, Hearing, Opening};
-use tulipwall_agent::wire::{http, statement::Statement};
+use tulipwall_agent::wire::postgres::{self, Hearing, Opening, Verdict};
+use tulipwall_agent::wire::{http, statement::Statement, Malformed};
 
 const READ: &str = "SELECT body FROM objects WHERE oid = 'a1' /* id=9b1f,c=view,t=acme,d=480 */";
 const WRITE: &str = "INSERT INTO objects (oid, body) VALUES ('a1', '\\x9f''03') RETURNING body \
@@ -38,7 +38,35 @@
     bytes
 }
 
+/// What an answer in these pieces is heard as: its verdict once it is over, nothing while it is not.
+fn heard(pieces: &[&[u8]]) -> Result<Option<(Verdict, Vec<u8>)>, Malformed> {
+    let (mut inbox, mut hearing) = (Vec::new(), Hearing::default());
+    for piece in pieces {
+        inbox.extend_from_slice(piece);
+        while let Some((tag, body, took)) = postgres::answer(&inbox)? {
+            if hearing.hear(tag, body, &inbox[..took])? {
+                return Ok(hearing.verdict.map(|v| (v, hearing.value)));
+            }
+            inbox.drain(..took);
+        }
+    }
+    Ok(None)
+}
+
 quickcheck! {
+    fn a_spoilt_answer_is_no_value_however_it_is_split(cut: usize, at: usize, by: u8) -> bool {
+        let whole = answer();
+        let (cut, at, by) = (cut % whole.len(), at % whole.len(), by.max(1));
+        let value = whole[..whole.len() - 6].to_vec();
+        assert_eq!(heard(&[&whole[..cut], &whole[cut..]]), Ok(Some((Verdict::Value, value.clone()))));
+        assert_eq!(heard(&[&whole[..cut]]), Ok(None), "only a part");
+        // Bytes of the value, of the column's description and of the command's words say nothing of themselves.
+        let free = [7..30, 41..43, 48..57].iter().any(|r| r.contains(&at));
+        let mut spoilt = whole.clone();
+        spoilt[at] = spoilt[at].wrapping_add(by);
+        free || !matches!(heard(&[&spoilt[..cut], &spoilt[cut..]]), Ok(Some((Verdict::Value, _))))
+    }
+
     fn messages_are_the_same_however_they_are_split(cuts: Vec<usize>) -> bool {
         let mut bytes = postgres::query(READ);
         bytes.extend(answer());
@@ -53,7 +81,7 @@
         let valid = [
             answer(), postgres::query(WRITE), postgres::startup("worker", "catalog"), READ.into(), WRITE.into(),
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n".to_vec(),
-            platform::vote(7, &Vote { build: 3, stage: 1, verdict: Verdict::Hold }).into_bytes(), noise,
+            platform::vote(7, &Vote { build: 3, stage: 1, verdict: tulipwall::Verdict::Hold }).into_bytes(), noise,
         ];
         for mut bytes in valid {
             for (at, to) in &seed {
@@ -63,11 +91,7 @@
             let _ = (postgres::opening(&bytes), http::answer(&bytes, true), http::answer(&bytes, false));
             let _ = (platform::line(&bytes), platform::split(&bytes), Listing::parse(&bytes), Start::parse(&bytes).is_ok());
             let _ = std::str::from_utf8(&bytes).map(Statement::parse);
-            let (mut rest, mut hearing) = (&bytes[..], Hearing::default());
-            while let Ok(Some((tag, body, took))) = postgres::message(rest) {
-                let _ = (postgres::text(body), hearing.hear(tag, body, &rest[..took]));
-                rest = &rest[took..];
-            }
+            let _ = (heard(&[&bytes]), postgres::message(&bytes).map(|m| m.map(|m| postgres::text(m.1).is_ok())));
         }
         true
     }
@@ -105,6 +129,9 @@
     assert!(hearing.hear(b'D', b"\0\x01\0\0\0\0", b"").is_err());
     assert!(Hearing::default().hear(b'T', b"\0\x02", b"").is_err());
     assert!(Hearing::default().hear(b'C', b"SELECT 0\0", b"").is_err());
+    // What can't be read says nothing, not even that the command never ran; what is too large is not awaited.
+    assert!(Hearing::default().hear(b'E', b"SERROR\0C53300", b"").is_err());
+    assert!(postgres::answer(b"D\xb2\xd0\x5e\x0a").is_err() && postgres::answer(b"x").is_err());
     assert_eq!(postgres::opening(&[0, 0, 0, 8, 4, 0xd2, 0x16, 0x2f]), Ok(Some((Opening::Encryption, 8))));
     assert!(postgres::message(b"Q\x7f\xff\xff\xff").is_err());
     assert!(postgres::opening(b"\0\0\0\x02").is_err());
@@ -140,5 +167,10 @@
         assert_eq!(answer, Ok(Line::Answer { id: 7, reply, told: None }));
     }
     assert_eq!(line(r#"{"method":"ping"}"#.into()), Ok(Line::SignOfLife));
-    assert!(line(r#"{"id":7}"#.into()).is_err());
+    for spoilt in [r#"{"id":7}"#, r#"{"method":"pong"}"#, r#"{"id":7,"error":{"message":"Thr#ttling"}}"#] {
+        assert!(line(spoilt.into()).is_err());
+    }
+    assert!(
+        line(format!(r#"{{"method":"ROLLOUT","params":{}}}"#, state.replace("ceiling", "c#iling"))).is_err()
+    );
 }
--- a/crates/deployment/src/fields.rs
+++ b/crates/deployment/src/fields.rs
@@ -62,6 +62,11 @@
         self.or(name, "true or false", false, Value::as_bool)
     }
 
+    /// A flag that may not be left out.
+    pub fn truth(&self, name: &str) -> Result<bool, String> {
+        self.need(name, "true or false", Value::as_bool)
+    }
+
     pub fn array(&self, name: &str) -> Result<&'a Vec<Value>, String> {
         self.need(name, "an array", Value::as_array)
     }
