--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,7 @@
     pub in_flight: usize,
     pub stuck: usize,
     pub limit: Option<f64>,
+    pub peak: f64,  // the highest limit of late
     pub spare: f64, // further deliveries earned
     pub blame: f64, // the part of failures that were the appliance's, not the command's
     pub near: f64,  // answer times of the own zone and of the others, against the usual
@@ -111,6 +112,7 @@
     pub customer: Option<usize>,
     pub key: Option<u64>,
     pub expires: Duration,
+    pub half: Duration, // of its time is over
     pub deliveries: Vec<Delivery>,
     pub closed: bool,
 }
@@ -334,7 +336,15 @@
 
     pub fn new(now: Duration, c: &Command) -> Open {
         let (lane, customer, key) = (c.lane, c.customer, c.key);
-        Open { lane, customer, key, expires: now + c.left, deliveries: Vec::new(), closed: false }
+        Open {
+            lane,
+            customer,
+            key,
+            expires: now + c.left,
+            half: now + c.left / 2,
+            deliveries: Vec::new(),
+            closed: false,
+        }
     }
 }
 
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -149,6 +149,16 @@
     }
 }
 
+#[test]
+fn what_nobody_takes_is_denied_in_the_first_half_of_its_time() {
+    let mut w = World::new(deployment(6));
+    w.news(trial(8, 0, 0.0));
+    w.list(&[listed(0, 8, None)]);
+    w.take(0, 2, ms(2000));
+    w.pass(ms(1000));
+    assert!(matches!(w.held[&0].answers[..], [Answer::Deny { .. }]), "{:?}", w.held[&0].answers);
+}
+
 #[test]
 fn a_vote_that_may_not_count_is_cast_again_and_refusals_back_off() {
     let mut w = rollout(|_| {});
