--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,8 +30,6 @@
 const PACE_FADE: f64 = 0.96; // each survey: answers of the last seconds
 const ALARM: f64 = 6.0;
 const QUICK_SHARE: f64 = 0.3; // of answers quicker than half were before the trial
-const SLOW_SHARE: f64 = 0.8; // of the earlier build's share of quick answers,
-const SLOW_KEPT: f64 = 0.9; // and until an alarm recedes
 const CERTAIN: f64 = 3.0; // how far beyond chance, as a logarithm; more the more agents look
 const LEFT: f64 = 0.05; // of their load, to appliances that go at the release
 const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
@@ -49,7 +47,6 @@
 const EASY: f64 = 0.2; // of the quoted time: answers this quick need no bound
 const FIRST_GUESS: f64 = 0.15; // of the quoted time: an answer before any has come
 const RATE_GAIN: f64 = 0.2; // each survey
-const FALLEN: f64 = 0.6; // of the highest limit of late
 const GAP: Duration = ms(250); // between calls of a kind, doubled as they fail
 const BLAME_GAIN: f64 = 0.15;
 const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
@@ -206,7 +203,8 @@
         let Some(c) = self.commands.get(&id).filter(|c| !c.closed) else { return Answer::Wait };
         let lane = &self.lanes[c.lane];
         let left = c.expires.saturating_sub(now);
-        let (spent, hopeless) = (c.deliveries.len() >= self.at.deliveries, left.as_secs_f64() < lane.usual);
+        let spent = c.deliveries.len() >= self.at.deliveries;
+        let hopeless = left.as_secs_f64() < lane.usual;
 
         if let Some(delivery) = c.deliveries.iter().rposition(|d| d.out) {
             // It is out. Guards against appliances that hang, vanish, pause or crawl: when one has said
@@ -232,7 +230,8 @@
         if left <= self.at.tick * 2 || spent || c.deliveries.is_empty() && self.crowded(c) {
             return self.give_up(id);
         }
-        // Unsent at half its time: its client may still find another agent.
+        // Unsent at half its time: its client may still find another agent. Guards against waiting for nobody;
+        // denies what somebody might have taken later.
         let unsent = now + self.at.tick * 4 > c.half && !c.deliveries.iter().any(|d| d.may_have_run);
         match self.pick(now, id) {
             Some(chosen) => self.send(now, id, chosen),
@@ -409,14 +408,12 @@
         d.sure |= started && ratio > DRAG_AT && d.strange(ratio) > CERTAIN + self.at.agents.ln();
         // Right after more of it came up, the quick half of the answers is gone: held at once, and sent back
         // where its places are taken if that lasts. Some slow machines or a slow way leave the quick answers.
-        // Where the trial's own are gone beyond chance, it needs more work. One that recedes is a recovery.
+        // If nearly all of the trial's own are gone, it needs more work than the earlier build.
         let ((share, gone), (own, apart)) = (d.quick_share(0), d.quick_share(1));
-        let slow = own < share * SLOW_SHARE && apart > ALARM + self.at.agents.ln();
+        let slow =
+            own < QUICK_SHARE * 0.7 && share > QUICK_SHARE * 1.4 && apart > ALARM + self.at.agents.ln();
         let sudden = now < newest + SETTLED && share < QUICK_SHARE && gone > ALARM + self.at.agents.ln();
-        let lasts = share < QUICK_SHARE * 1.2 || own < share * SLOW_KEPT;
-        let alarm = started && (sudden || slow || d.alarm && lasts);
-        let recedes = started && d.alarm && !alarm;
-        (d.alarm, d.sure, d.falls) = (alarm, d.sure || recedes, d.falls + u32::from(recedes));
+        d.alarm = started && (sudden || slow || d.alarm && share.min(own * 1.4) < QUICK_SHARE * 1.2);
         if std::mem::replace(&mut d.spell, spell) == spell || !started {
             return;
         }
@@ -726,13 +723,7 @@
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
             good &= l.usual < l.quoted * EASY;
         }
-        // Guards against a limit that falls with the rate it lets through: what stays slow though it has
-        // fallen far is no queue, and is the pace now. In a true overload waits may grow by a fifth.
-        let limit = room + room.sqrt() + 2.0;
-        let fell = limit < self.load.peak * FALLEN;
-        self.lanes.iter_mut().filter(|_| fell && !good).for_each(|l| l.least = l.usual);
-        self.load.peak = if good || fell { limit } else { (self.load.peak * 0.998).max(limit) };
-        self.load.limit = (!good).then_some(limit);
+        self.load.limit = (!good).then_some(room + room.sqrt() + 2.0);
         let patience = self.patience();
         self.load.stuck = self.fleet.iter().filter(|a| a.silent(now, patience)).map(|a| a.in_flight).sum();
         self.judge(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,7 +44,6 @@
     pub in_flight: usize,
     pub stuck: usize,
     pub limit: Option<f64>,
-    pub peak: f64,  // the highest limit of late
     pub spare: f64, // further deliveries earned
     pub blame: f64, // the part of failures that were the appliance's, not the command's
     pub near: f64,  // answer times of the own zone and of the others, against the usual
