Silent and half clients are let go in time; an open id is not taken twice, floods are denied

Seen by reading, then by a test: a client that said nothing, or half a startup message or query, was never ended (client.rs, more waited without a limit), finish heard a client out for ever, two commands under one id both went on (command.rs knew no ids), a command without key in a lane that deduplicates went to an appliance, d=inf was taken. Now: 2 s to the first whole command and for each message; then an error and a close, heard out for 1 s or 1 MB. When an eighth of the places is left, who never asked anything goes first (after 0.3 s), then who idles for 2 s. Of what is written ahead of 32 waiting commands each is denied at once, unsent. May harm: a client that opens ahead and asks later than 2 s connects again.

--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -19,25 +19,49 @@
 /// How soon a client that was held back is read again.
 const HELD_BACK: Duration = Duration::from_millis(5);
 
+/// How long a client may take from its connection to its first whole command, and from the first byte of a
+/// message to its last. Guards against clients that hold a place and say nothing, or half of it.
+const HEARD_WITHIN: Duration = Duration::from_secs(2);
+/// How long, and how much, a client that was told of its end may still write.
+const HEARD_OUT: Duration = Duration::from_secs(1);
+const HEARD_OUT_MOST: usize = 1024 * 1024;
+/// Commands that may wait behind the one in hand; what a client writes beyond is denied at once.
+const BEHIND_MOST: usize = 32;
+
 /// Serves a client until it leaves, breaks the protocol, or is idle when the agent needs it to go.
 pub async fn serve(agent: Rc<Agent>, mut client: Connection, _slot: Slot) {
-    let mut reply = Vec::new();
-    let mut open = false;
+    let (mut reply, mut open) = (Vec::new(), false);
+    // When what was begun must be whole: the first command, later each message.
+    let mut whole_by = Some(agent.clock.now() + HEARD_WITHIN);
     loop {
         let step =
             if open { heed(&agent, &mut client, &mut reply).await } else { greet(&mut client, &mut reply) };
         let go_on = match step {
-            Ok(Step::Answer) => true,
+            Ok(Step::Answer) => {
+                whole_by = whole_by.filter(|_| !open);
+                true
+            }
             Ok(Step::Open) => {
                 open = true;
                 true
             }
             Ok(Step::More) => {
-                if !more(&agent, &mut client).await {
-                    agent.counters.clients_closed.add();
-                    return;
+                if !client.inbox.is_empty() {
+                    whole_by.get_or_insert(agent.clock.now() + HEARD_WITHIN);
+                }
+                match more(&agent, &mut client, whole_by).await {
+                    More::Came => continue,
+                    More::Over => {
+                        agent.counters.clients_closed.add();
+                        return;
+                    }
+                    More::Late => {
+                        agent.counters.clients_late.add();
+                        let missing = if client.inbox.is_empty() { "command" } else { "message" };
+                        postgres::fatal(&mut reply, &Malformed(format!("no whole {missing} in time")));
+                        false
+                    }
                 }
-                continue;
             }
             Ok(Step::End) => false,
             Err(fault) => {
@@ -50,7 +74,7 @@
             return;
         }
         if !go_on {
-            return finish(client).await;
+            return finish(&agent, client).await;
         }
         reply.clear();
     }
@@ -82,7 +106,7 @@
         agent.until(agent.clock.now() + DENIED_WITHIN).await;
     };
     talk.or(late).await;
-    finish(client).await;
+    finish(&agent, client).await;
 }
 
 fn turn_away(client: &mut Connection, reply: &mut Vec<u8>) -> Result<Step, Malformed> {
@@ -98,13 +122,22 @@
     Ok(Step::End)
 }
 
-/// Ends a connection so that its last answer arrives: closed with something unread it would be reset.
-async fn finish(mut client: Connection) {
+/// Ends a connection so that its last answer arrives: closed with something unread it would be reset. Whoever
+/// writes on and on is reset.
+async fn finish(agent: &Agent, mut client: Connection) {
     client.end();
-    client.inbox.consume(usize::MAX);
-    while !client.quiet() && client.more().await.is_ok_and(|n| n > 0) {
+    let heard = async {
+        let mut heard = 0;
         client.inbox.consume(usize::MAX);
-    }
+        while heard < HEARD_OUT_MOST && !client.quiet() {
+            match client.more().await {
+                Ok(n) if n > 0 => heard += n,
+                _ => return,
+            }
+            client.inbox.consume(usize::MAX);
+        }
+    };
+    heard.or(agent.until(agent.clock.now() + HEARD_OUT)).await;
 }
 
 enum Step {
@@ -117,26 +150,43 @@
     End,
 }
 
-/// Reads on. Between commands the agent may end the connection: false then, and when the client has left.
-async fn more(agent: &Agent, client: &mut Connection) -> bool {
+enum More {
+    Came,
+    /// The client has left, or was asked to while idle.
+    Over,
+    Late,
+}
+
+/// Reads on, until `whole_by` where something is owed. Between commands the agent may end the connection.
+async fn more(agent: &Agent, client: &mut Connection, whole_by: Option<Duration>) -> More {
     // Clients are held back while too much is buffered; answers of appliances keep the rest of the memory.
     while Weight::held() > agent.buffers_most.get() {
         Timer::after(HELD_BACK).await;
     }
+    let came = |read: std::io::Result<usize>| if read.is_ok_and(|n| n > 0) { More::Came } else { More::Over };
+    let late = async {
+        match whole_by {
+            Some(at) => agent.until(at).await,
+            None => future::pending().await,
+        }
+        More::Late
+    };
     if !client.inbox.is_empty() {
-        return client.more().await.is_ok_and(|n| n > 0);
+        return async { came(client.more().await) }.or(late).await;
     }
-    let Some(mut idle) = agent.life.idle(agent.clock.now()) else {
+    let Some(mut idle) = agent.life.idle(agent.clock.now(), whole_by.is_some()) else {
         // Time to go, but not past a command that has already come.
-        return !client.quiet() && client.more().await.is_ok_and(|n| n > 0);
+        return if client.quiet() { More::Over } else { came(client.more().await) };
     };
     let asked = async {
         (&mut idle.asked).await;
-        false
+        More::Over
     };
-    let came = async { client.more().await.is_ok_and(|n| n > 0) }.or(asked).await;
-    // A command that has come meanwhile is still served: closing would lose it.
-    came || !client.quiet() && client.more().await.is_ok_and(|n| n > 0)
+    match async { came(client.more().await) }.or(asked).or(late).await {
+        // A command that has come meanwhile is still served: closing would lose it.
+        More::Over | More::Late if !client.quiet() => came(client.more().await),
+        more => more,
+    }
 }
 
 fn greet(client: &mut Connection, reply: &mut Vec<u8>) -> Result<Step, Malformed> {
@@ -164,6 +214,7 @@
     };
     let heard = agent.clock.at(client.heard);
     let word = text.split_whitespace().next().unwrap_or_default();
+    let flood = postgres::waiting(&client.inbox.unread()[took..], BEHIND_MOST) == BEHIND_MOST;
     if word.is_empty() || word == ";" {
         client.inbox.consume(took);
         // This answer tells the front that commands may come.
@@ -175,7 +226,16 @@
     } else {
         let read = read(agent, text);
         client.inbox.consume(took);
+        let open = read.as_ref().ok().map(|(statement, _)| agent.hand.open(&statement.id));
         match read {
+            Ok(_) if open.as_ref().is_some_and(Option::is_none) => {
+                agent.counters.faulty.add();
+                postgres::faulty(reply, &Malformed("statement: field id: its command is still open".into()));
+            }
+            Ok(_) if flood => {
+                agent.counters.floods.add();
+                postgres::denied(reply, None);
+            }
             Ok((statement, lane)) => match live(agent, client, statement, lane, heard).await {
                 Final::Satisfied(value) => {
                     agent.counters.satisfied.add();
@@ -211,6 +271,9 @@
 fn read(agent: &Agent, text: &str) -> Result<(Statement, usize), Malformed> {
     let statement = Statement::parse(text)?;
     match agent.site.lane(&statement.lane) {
+        Some(lane) if !statement.keyed && agent.site.deduplicates(lane) => {
+            malformed("statement: field k is missing")
+        }
         Some(lane) => Ok((statement, lane)),
         None => malformed(format!("statement: field c: unknown lane '{}'", statement.lane)),
     }
--- a/crates/agent/src/lifecycle/life.rs
+++ b/crates/agent/src/lifecycle/life.rs
@@ -7,8 +7,9 @@
 
 /// New clients still come for this long after SIGTERM.
 pub const LEAVING: Duration = Duration::from_millis(550);
-/// A client is asked to go only when it was idle for as long.
-const IDLE_LEAST: Duration = Duration::from_secs(1);
+/// A client is asked to go only when it was idle for as long; sooner if it has never asked anything.
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+const NEW_LEAST: Duration = Duration::from_millis(300);
 /// SIGKILL comes no sooner than the longest expiry, of this at least, and somewhat more.
 pub const LEAST_EXPIRY: Duration = Duration::from_secs(3);
 
@@ -29,27 +30,21 @@
 pub struct Life {
     phase: Cell<Phase>,
     changed: Event,
-    awaited: Cell<usize>,                // parties not yet heard at their new addresses
-    idle: RefCell<BTreeMap<u64, Idler>>, // clients between commands, the longest idle first
+    awaited: Cell<usize>, // parties not yet heard at their new addresses
+    idle: RefCell<BTreeMap<(Duration, u64), Event>>, // clients between commands, the first to go first
     idled: Cell<u64>,
 }
 
-/// What is kept of a client between two commands.
-struct Idler {
-    since: Duration,
-    asked: Event,
-}
-
 /// A client's time between two commands; it may be asked to end its connection.
 pub struct Idle<'a> {
     life: &'a Life,
-    number: u64,
+    key: (Duration, u64),
     pub asked: EventListener,
 }
 
 impl Drop for Idle<'_> {
     fn drop(&mut self) {
-        self.life.idle.borrow_mut().remove(&self.number);
+        self.life.idle.borrow_mut().remove(&self.key);
     }
 }
 
@@ -88,8 +83,8 @@
             self.phase.set(phase);
             self.changed.notify(usize::MAX);
             if phase >= Phase::Closing {
-                for idler in self.idle.borrow().values() {
-                    idler.asked.notify(1);
+                for asked in self.idle.borrow().values() {
+                    asked.notify(1);
                 }
             }
         }
@@ -101,8 +96,8 @@
         }
     }
 
-    /// A client has no command in hand; `None` when it is time to go.
-    pub fn idle(&self, now: Duration) -> Option<Idle<'_>> {
+    /// A client has no command in hand, `new` if it never had one; `None` when it is time to go.
+    pub fn idle(&self, now: Duration, new: bool) -> Option<Idle<'_>> {
         if self.phase.get() >= Phase::Closing {
             return None;
         }
@@ -110,15 +105,16 @@
         self.idled.set(number + 1);
         let event = Event::new();
         let asked = event.listen();
-        self.idle.borrow_mut().insert(number, Idler { since: now, asked: event });
-        Some(Idle { life: self, number, asked })
+        let key = (now + if new { NEW_LEAST } else { IDLE_LEAST }, number);
+        self.idle.borrow_mut().insert(key, event);
+        Some(Idle { life: self, key, asked })
     }
 
     /// Asks the client that has been idle for longest to go; false when none was idle for a while. One that
     /// was not has likely written its next command already.
     pub fn make_room(&self, now: Duration) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let longest = idle.first_entry().filter(|e| now >= e.get().since + IDLE_LEAST);
-        longest.map(|e| e.remove().asked.notify(1)).is_some()
+        let longest = idle.first_entry().filter(|e| now >= e.key().0);
+        longest.map(|e| e.remove().notify(1)).is_some()
     }
 }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -80,12 +80,12 @@
     loop {
         let mut slot = agent.sockets.client();
         let beyond = if slot.is_none() { agent.sockets.beyond() } else { None };
-        if slot.is_none() {
+        if agent.sockets.clients_crowd() {
             agent.life.make_room(agent.clock.now());
-            if beyond.is_none() {
-                agent.sockets.client_gone().or(Timer::after(ROOM_AGAIN)).await;
-                continue;
-            }
+        }
+        if slot.is_none() && beyond.is_none() {
+            agent.sockets.client_gone().or(Timer::after(ROOM_AGAIN)).await;
+            continue;
         }
         match listener.read(|| Connection::accept(listener.get())).await {
             Ok(client) => {
--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -21,6 +21,8 @@
     pub clients: Count,
     pub clients_closed: Count, // between two commands, by either side
     pub clients_denied: Count, // at the limit of descriptors
+    pub clients_late: Count,   // ended for want of a whole command or message
+    pub floods: Count,         // commands denied for how many their clients wrote ahead
     pub taken: Count,
     pub faulty: Count, // statements that were answered with their fault
     pub satisfied: Count,
@@ -65,9 +67,10 @@
         let n = |c: &Count| c.get();
         write!(
             f,
-            "clients: taken {} denied {} closed {}; ",
+            "clients: taken {} denied {} late {} closed {}; ",
             n(&self.clients),
             n(&self.clients_denied),
+            n(&self.clients_late),
             n(&self.clients_closed)
         )?;
         write!(
@@ -77,6 +80,7 @@
             n(&self.faulty),
             n(&self.satisfied)
         )?;
+        write!(f, "floods {} ", n(&self.floods))?;
         write!(f, "denied {} scrapped {} left {}; ", n(&self.denied), n(&self.scrapped), n(&self.left))?;
         write!(f, "deliveries: written {}", n(&self.sent))?;
         for (name, count) in OUTCOMES.iter().zip(&self.ended) {
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -3,6 +3,7 @@
 use super::clock::Clock;
 use super::counters::Counters;
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::*;
@@ -12,17 +13,33 @@
     clock: Rc<Clock>,
     counters: Rc<Counters>,
     taken: Cell<u64>,
+    open: RefCell<HashSet<String>>, // the ids of commands in hand
     news: RefCell<Option<News>>,
     turns: Cell<u64>, // how often the news changed
 }
 
+/// A command is open under its id for as long as this lives.
+pub struct Opened<'a>(&'a Hand, String);
+
+impl Drop for Opened<'_> {
+    fn drop(&mut self) {
+        self.0.open.borrow_mut().remove(&self.1);
+    }
+}
+
 impl Hand {
+    /// Nothing while another command is open under this id: its answers could not be told apart.
+    pub fn open(&self, id: &str) -> Option<Opened<'_>> {
+        self.open.borrow_mut().insert(id.to_owned()).then(|| Opened(self, id.to_owned()))
+    }
+
     pub fn new(deployment: Deployment, clock: Rc<Clock>, counters: Rc<Counters>) -> Hand {
         Hand {
             choice: RefCell::new(Choice::new(clock.now(), deployment)),
             clock,
             counters,
             taken: Cell::default(),
+            open: RefCell::default(),
             news: RefCell::default(),
             turns: Cell::default(),
         }
--- a/crates/agent/src/memory/pools.rs
+++ b/crates/agent/src/memory/pools.rs
@@ -77,6 +77,12 @@
         self.clients.slot()
     }
 
+    /// Hardly any place is left for further clients.
+    pub fn clients_crowd(&self) -> bool {
+        let most = self.clients.most.get();
+        self.clients.held.get() + most / 8 >= most
+    }
+
     /// Ready once a client's slot may be free.
     pub async fn client_gone(&self) {
         let freed = self.clients.freed.listen();
--- a/crates/agent/src/wire/statement.rs
+++ b/crates/agent/src/wire/statement.rs
@@ -7,6 +7,9 @@
 
 #[derive(Debug, PartialEq)]
 pub struct Statement {
+    pub id: String,
+    /// It has the key by which repeats are told.
+    pub keyed: bool,
     pub lane: String,
     pub customer: Option<String>,
     /// What it is about: commands on the same object share it.
@@ -31,7 +34,7 @@
             (Some(object), _) | (_, Some(object)) => object,
             _ => return malformed("statement: neither the known SELECT nor the known INSERT"),
         };
-        let (mut id, mut lane, mut customer, mut wait) = (None, None, None, None);
+        let (mut id, mut lane, mut customer, mut wait, mut keyed) = (None, None, None, None, false);
         let mut at = start + 2;
         for pair in comment.split(',') {
             let Some((name, value)) = pair.split_once('=') else {
@@ -43,22 +46,23 @@
                 "id" => id = Some(value.trim()).filter(|v| !v.is_empty()),
                 "c" => lane = Some(value.trim()),
                 "t" => customer = Some(value.trim()),
+                "k" => keyed = !value.trim().is_empty(),
                 "d" => wait = Some((value.trim(), value_at..value_at + value.len())),
                 _ => {}
             }
         }
-        if id.is_none() {
-            return malformed("statement: field id is missing");
-        }
+        let Some(id) = id else { return malformed("statement: field id is missing") };
         let Some(lane) = lane else { return malformed("statement: field c is missing") };
         let Some((ms, wait_at)) = wait else { return malformed("statement: field d is missing") };
-        let ms = ms.parse::<f64>().ok().filter(|ms| *ms >= 0.0);
+        let ms = ms.parse::<f64>().ok().filter(|ms| *ms >= 0.0 && ms.is_finite());
         let Some(ms) = ms else { return malformed("statement: field d: milliseconds are wanted") };
         let wait = Duration::from_secs_f64(ms.min(WAIT_MOST) / 1000.0);
-        let (lane, customer) = (lane.to_owned(), customer.map(str::to_owned));
+        let (id, lane, customer) = (id.to_owned(), lane.to_owned(), customer.map(str::to_owned));
         // Once here, and once more as it is written on.
         let _weight = Weight::of(text.len() * 2);
         Ok(Statement {
+            id,
+            keyed,
             lane,
             customer,
             object: object.to_owned(),
--- a/crates/agent/tests/wire.rs
+++ b/crates/agent/tests/wire.rs
@@ -111,6 +111,7 @@
 fn a_faulty_statement_is_named() {
     for (from, to, fault) in [
         ("d=480", "d=soon", "field d"),
+        ("d=480", "d=inf", "field d"),
         (",d=480", "", "field d is missing"),
         ("id=9b1f,", "", "field id is missing"),
         ("c=view,", "", "field c is missing"),
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -156,6 +156,11 @@
         self.lanes.iter().position(|l| l == name)
     }
 
+    /// Whether commands of this lane have a key by which repeats are told.
+    pub fn deduplicates(&self, lane: usize) -> bool {
+        matches!(self.deployment.lanes[lane].repeats, Repeats::Deduplicated { .. })
+    }
+
     pub fn customer(&self, name: &str) -> Option<usize> {
         self.customers.iter().position(|c| c == name)
     }
