The limit on load does not fall with its own rate once the newest build was seen to be slow

Checked by a probe of the module's figures: limit 130 -> 28 in 6 s while usual answers rose from 0.15 to 0.5 s (choice.rs, survey: room goes by the rate that it lets through itself, and 'least' rises by 2% a second only). Ruled out: overload (0.25 deliveries a command, 1.3 out for each appliance), descriptors (192 to 220 of 256). Now a limit that fell by two fifths while answers stay slow takes their pace as given, if the trial's own quick answers were seen beyond chance under 0.8 of the earlier build's. May harm: where such a build and a true overload meet, waits grow by a fifth.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,7 @@
 const PACE_FADE: f64 = 0.96; // each survey: answers of the last seconds
 const ALARM: f64 = 6.0;
 const QUICK_SHARE: f64 = 0.3; // of answers quicker than half were before the trial
+const SLOW_SHARE: f64 = 0.8; // of the earlier build's share of quick answers
 const CERTAIN: f64 = 3.0; // how far beyond chance, as a logarithm; more the more agents look
 const LEFT: f64 = 0.05; // of their load, to appliances that go at the release
 const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
@@ -47,6 +48,7 @@
 const EASY: f64 = 0.2; // of the quoted time: answers this quick need no bound
 const FIRST_GUESS: f64 = 0.15; // of the quoted time: an answer before any has come
 const RATE_GAIN: f64 = 0.2; // each survey
+const FALLEN: f64 = 0.6; // of the highest limit of late
 const GAP: Duration = ms(250); // between calls of a kind, doubled as they fail
 const BLAME_GAIN: f64 = 0.15;
 const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
@@ -412,6 +414,7 @@
         let ((share, gone), (own, apart)) = (d.quick_share(0), d.quick_share(1));
         let slow =
             own < QUICK_SHARE * 0.7 && share > QUICK_SHARE * 1.4 && apart > ALARM + self.at.agents.ln();
+        d.heavy |= started && own < share * SLOW_SHARE && apart > ALARM + self.at.agents.ln();
         let sudden = now < newest + SETTLED && share < QUICK_SHARE && gone > ALARM + self.at.agents.ln();
         d.alarm = started && (sudden || slow || d.alarm && share.min(own * 1.4) < QUICK_SHARE * 1.2);
         if std::mem::replace(&mut d.spell, spell) == spell || !started {
@@ -723,7 +726,13 @@
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
             good &= l.usual < l.quoted * EASY;
         }
-        self.load.limit = (!good).then_some(room + room.sqrt() + 2.0);
+        // Guards against a limit that falls with the rate it lets through, once the newest build was seen to be
+        // slow: what stays slow though it has fallen far is no queue. May let waits grow by a fifth.
+        let limit = room + room.sqrt() + 2.0;
+        let fell = limit < self.load.peak * FALLEN && self.drag.heavy && !good;
+        self.lanes.iter_mut().filter(|_| fell).for_each(|l| l.least = l.usual);
+        self.load.peak = if good || fell { limit } else { (self.load.peak * 0.998).max(limit) };
+        self.load.limit = (!good).then_some(limit);
         let patience = self.patience();
         self.load.stuck = self.fleet.iter().filter(|a| a.silent(now, patience)).map(|a| a.in_flight).sum();
         self.judge(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,7 @@
     pub in_flight: usize,
     pub stuck: usize,
     pub limit: Option<f64>,
+    pub peak: f64,  // the highest limit of late
     pub spare: f64, // further deliveries earned
     pub blame: f64, // the part of failures that were the appliance's, not the command's
     pub near: f64,  // answer times of the own zone and of the others, against the usual
@@ -160,7 +161,8 @@
     pub quick: [f64; 2], // answers of the earlier build and of the trial quicker than half were before,
     pub seen: [f64; 2],  // of those seen of late
     pub alarm: bool,
-    pub sure: bool, // slower than chance would have it at any of the agents
+    pub heavy: bool, // its own quick answers were fewer than the earlier build's, beyond chance
+    pub sure: bool,  // slower than chance would have it at any of the agents
 }
 
 #[derive(Default)]
