What is kept follows what is alive: numbers of appliances are given anew, old builds forgotten

Seen by reading: List kept each name for good (memory/list.rs, Names), and so did pools and the module by number; the module kept each build (choice.rs, builds). Now a number is given anew once its appliance is gone and the last delivery to it is over; a returning id begins anew under its new build; builds older than the one before the newest are forgotten. 'kept:' in the counters says how many.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -145,6 +145,18 @@
         self.list.borrow().name(appliance).to_owned()
     }
 
+    pub fn hold(&self, appliance: usize) -> Option<Rc<()>> {
+        self.list.borrow().hold(appliance)
+    }
+
+    /// What is kept, for the counters: it should follow what is alive.
+    pub fn kept(&self) -> String {
+        let [commands, appliances, builds, keys] = self.hand.kept();
+        let (listed, clients) = (self.list.borrow().len(), self.sockets.clients());
+        let module = format!("commands {commands} appliances {appliances} builds {builds} keys {keys}");
+        format!("kept: clients {clients} listed {listed} {module}")
+    }
+
     pub fn target(&self, appliance: usize) -> Option<Target> {
         self.list.borrow().target(appliance)
     }
--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -109,7 +109,7 @@
     let Some(target) = agent.target(appliance) else {
         return Out { sent, give_up, written, ends: Box::pin(async { (Outcome::NotSent, Vec::new()) }) };
     };
-    let order = Order { target, turn: agent.hand.turn(), give_up };
+    let order = Order { target, turn: agent.hand.turn(), give_up, held: agent.hold(appliance) };
     let (agent, statement, mark) = (agent.clone(), statement.clone(), written.clone());
     Out {
         sent,
--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -18,11 +18,12 @@
 const REST_WITHIN: Duration = Duration::from_millis(500);
 
 /// What was decided, and the news it was decided on.
-#[derive(Clone, Copy)]
 pub struct Order {
     pub target: Target,
     pub turn: u64,
     pub give_up: Duration,
+    /// Its number stands for this appliance until the delivery is over.
+    pub held: Option<Rc<()>>,
 }
 
 /// Runs one delivery to its end; the messages of the value where there is one. `written` tells once all of it
--- a/crates/agent/src/lifecycle/signals.rs
+++ b/crates/agent/src/lifecycle/signals.rs
@@ -37,7 +37,7 @@
     let mut asked = None;
     loop {
         if signals.usr1.swap(false, Ordering::Relaxed) {
-            log::info!("{}", agent.counters);
+            log::info!("{}; {}", agent.counters, agent.kept());
         }
         if signals.hup.swap(false, Ordering::Relaxed) {
             match Start::read() {
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -63,7 +63,7 @@
         Ok::<(), io::Error>(())
     };
     let outcome = reactor::run(&agent.tasks, run).and_then(|outcome| outcome);
-    log::info!("{}", agent.counters);
+    log::info!("{}; {}", agent.counters, agent.kept());
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -111,6 +111,11 @@
         self.choice.borrow_mut().reply(self.clock.now(), reply);
     }
 
+    /// Commands, appliances, builds and keys that the module keeps.
+    pub fn kept(&self) -> [usize; 4] {
+        self.choice.borrow().kept()
+    }
+
     pub fn wait(&self) -> Due {
         self.choice.borrow_mut().wait(self.clock.now())
     }
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -1,21 +1,26 @@
 //! The list of appliances as discovery last told it.
 
 use super::clock::Clock;
-use crate::wire::listing::Listing;
-use std::collections::BTreeSet;
+use crate::wire::listing::{Entry, Listing};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tulipwall::{Listed, Standing};
-use tulipwall_deployment::{Names, Site};
+use tulipwall_deployment::Site;
 
 struct Kept {
+    id: String,
     address: SocketAddr,
     build: u32,
     standing: Standing,
+    held: Rc<()>, // by each delivery to it
 }
 
+/// Its numbers are given anew once their appliances are gone and the last delivery to them is over, so that
+/// no more is kept than what runs.
 #[derive(Default)]
 pub struct List {
-    names: Names,
+    numbers: HashMap<String, usize>,
     kept: Vec<Kept>,
     pub version: u64,
 }
@@ -35,18 +40,14 @@
         self.version = told.version;
         let (mut listed, mut stale, mut named) = (Vec::new(), Vec::new(), BTreeSet::new());
         for e in told.entries {
-            let appliance = self.names.number(&e.id);
+            let Some(appliance) = self.number_for(&e) else { continue };
             named.insert(appliance);
-            let kept = Kept { address: e.address, build: e.build, standing: e.standing };
-            if let Some(old) = self.kept.get_mut(appliance) {
-                let same = old.address == kept.address && old.build == kept.build;
-                if !same || kept.standing != Standing::Running {
-                    stale.push(appliance);
-                }
-                *old = kept;
-            } else {
-                self.kept.push(kept);
+            let kept = &mut self.kept[appliance];
+            let same = kept.address == e.address && kept.build == e.build;
+            if !same || e.standing != Standing::Running {
+                stale.push(appliance);
             }
+            (kept.address, kept.build, kept.standing) = (e.address, e.build, e.standing);
             listed.push(Listed {
                 appliance,
                 // A zone that the settings do not know is nobody's own.
@@ -67,17 +68,51 @@
         (listed, stale)
     }
 
+    /// The number that it has or gets now; none for what went without being known.
+    fn number_for(&mut self, e: &Entry) -> Option<usize> {
+        if let Some(known) = self.numbers.get(&e.id) {
+            return Some(*known);
+        }
+        if e.standing == Standing::Gone {
+            return None;
+        }
+        let free = |k: &Kept| k.standing == Standing::Gone && Rc::strong_count(&k.held) == 1;
+        let number = self.kept.iter().position(free).unwrap_or(self.kept.len());
+        let (id, address, build, standing) = (e.id.clone(), e.address, e.build, e.standing);
+        let kept = Kept { id, address, build, standing, held: Rc::default() };
+        match self.kept.get_mut(number) {
+            Some(old) => drop(self.numbers.remove(&std::mem::replace(old, kept).id)),
+            None => self.kept.push(kept),
+        }
+        self.numbers.insert(e.id.clone(), number);
+        Some(number)
+    }
+
+    /// How many appliances are kept.
+    pub fn len(&self) -> usize {
+        self.kept.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
+    /// Keeps this number with its appliance for as long as the result lives.
+    pub fn hold(&self, appliance: usize) -> Option<Rc<()>> {
+        self.kept.get(appliance).map(|k| k.held.clone())
+    }
+
     /// Something to serve from is known.
     pub fn serves(&self) -> bool {
         self.kept.iter().any(|k| k.standing == Standing::Running)
     }
 
     pub fn number(&self, id: &str) -> Option<usize> {
-        self.names.find(id)
+        self.numbers.get(id).copied()
     }
 
     pub fn name(&self, appliance: usize) -> &str {
-        self.names.name(appliance)
+        &self.kept[appliance].id
     }
 
     pub fn targets(&self) -> Vec<Target> {
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -7,7 +7,10 @@
 use std::sync::mpsc::{channel, Sender};
 use std::thread;
 use std::time::{Duration, Instant};
-use tulipwall_agent::wire::postgres;
+use tulipwall::{Choice, News, Phase};
+use tulipwall_agent::memory::{clock::Clock, list::List};
+use tulipwall_agent::wire::{listing::Listing, postgres};
+use tulipwall_deployment::{Fields, Site};
 
 const SOON: Duration = Duration::from_secs(10);
 
@@ -488,6 +491,36 @@
     assert_eq!(clients.iter_mut().filter_map(Client::told).count(), 0);
 }
 
+#[test]
+fn what_is_kept_follows_what_is_alive_however_many_came() {
+    let value = settings();
+    let site = Site::read(&Fields::of(&value, "settings").unwrap(), 1).unwrap();
+    let (mut kept, clock) = (List::default(), Clock::start());
+    let mut choice = Choice::new(clock.now(), site.deployment.clone());
+    let mut held = None;
+    for n in 0..2000u32 {
+        // Builds follow one another; an address returns under another build, an id now and then.
+        let entry = |i: u32, state: &str| {
+            json!({"id": format!("s-{}", i % if n % 7 < 1 { 21 } else { 5000 }), "addr": format!("127.0.0.1:{}", 1 + i % 9),
+                "zone": "a", "cell": 0, "state": state, "started_ms": 0, "release": i / 5})
+        };
+        let told = json!({"version": n, "full": n % 50 == 49, "servers": [entry(n, "in_service"),
+            entry(n + 2000, "terminated"), entry(n.saturating_sub(8), "terminated")]});
+        let (entries, _) = kept.take(Listing::parse(told.to_string().as_bytes()).unwrap(), &site, &clock);
+        choice.list(clock.now(), &entries, n % 50 == 49);
+        choice.news(News { build: n / 5, stage: 0, phase: Phase::Trial, cap: 0.2, began: clock.now() });
+        if n == 100 {
+            held = kept
+                .hold(entries[0].appliance)
+                .map(|h| (h, entries[0].appliance, kept.name(entries[0].appliance).to_owned()));
+        }
+    }
+    let [_, appliances, builds, _] = choice.kept();
+    assert!(kept.len() < 40 && appliances <= kept.len() && builds < 5, "{} {builds}", kept.len());
+    let (_, number, id) = held.unwrap();
+    assert_eq!(kept.name(number), id, "not given anew while a delivery to it is out");
+}
+
 #[test]
 fn at_the_descriptor_limit_it_goes_on_serving() {
     let (seen, _sees) = channel();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -116,10 +116,6 @@
         }
     }
 
-    pub fn left(&mut self, id: u64) {
-        self.close(id);
-    }
-
     /// Entries of the list; `complete` when whatever it lacks is gone.
     pub fn list(&mut self, now: Duration, entries: &[Listed], complete: bool) {
         self.watch_gap = GAP;
@@ -167,6 +163,8 @@
             let Drag { took, answers, before, .. } = self.drag;
             self.drag = Drag { took, answers, before: before.max(1.0), ..Drag::default() };
             self.bound.retain(|_, b| *b >= n.build);
+            let oldest = earlier(&self.builds, n.build);
+            self.builds.retain(|b, _| *b >= oldest);
         }
         self.build(n.build);
         self.news = Some(n);
@@ -232,8 +230,7 @@
         if left <= self.at.tick * 2 || spent || c.deliveries.is_empty() && self.crowded(c) {
             return self.give_up(id);
         }
-        // Unsent at half its time: its client may still find another agent. Guards against waiting for nobody;
-        // denies what somebody might have taken later.
+        // Unsent at half its time: its client may find another agent. Denies what might yet be taken.
         let unsent = now + self.at.tick * 4 > c.half && !c.deliveries.iter().any(|d| d.may_have_run);
         match self.pick(now, id) {
             Some(chosen) => self.send(now, id, chosen),
@@ -276,7 +273,7 @@
         let c = &self.commands[&id];
         let other = c.deliveries.iter().position(|d| d.out);
         if end.closed || c.closed {
-            self.close(id);
+            self.left(id);
             let waste = other.filter(|_| self.at.withdraw);
             return waste.map_or(Answer::Wait, |delivery| Answer::Withdraw { delivery });
         }
@@ -307,6 +304,11 @@
         Due { until, vote, watch, notes }
     }
 
+    /// Counts of what is kept: commands, appliances, builds and keys.
+    pub fn kept(&self) -> [usize; 4] {
+        [self.commands.len(), self.fleet.len(), self.builds.len(), self.bound.len()]
+    }
+
     fn build(&mut self, number: u32) -> &mut Build {
         let (lanes, slots) = (self.lanes.len(), if self.at.by_lane { self.lanes.len() } else { 1 });
         self.builds.entry(number).or_insert_with(|| Build::new(lanes, slots, self.at.free))
@@ -340,7 +342,7 @@
     /// The verdict on the newest build against the build before it.
     fn judge(&mut self, now: Duration) {
         let Some(n) = self.news.clone() else { return };
-        let earlier = self.builds.keys().rev().copied().find(|b| *b < n.build).unwrap_or(0);
+        let earlier = earlier(&self.builds, n.build);
         let was = self.builds.get(&n.build).is_some_and(|b| b.regressed);
         // Until the build has settled, a hold once placed is kept on half of what placed it.
         let age = self.builds.get(&n.build).map_or(SETTLED, |b| now.saturating_sub(b.newest));
@@ -489,8 +491,8 @@
         let a = &mut self.fleet[i];
         let was = std::mem::replace(&mut a.standing, standing);
         if was == Standing::Running && a.aside.is_none() {
-            let (number, counts) = (a.build, std::mem::take(&mut a.counts));
-            self.build(number).past.iter_mut().zip(&counts).for_each(|(p, c)| p.mix(1.0, c));
+            let (past, counts) = (self.builds.get_mut(&a.build), std::mem::take(&mut a.counts));
+            past.into_iter().flat_map(|b| &mut b.past).zip(&counts).for_each(|(p, c)| p.mix(1.0, c));
         }
     }
 
@@ -662,9 +664,7 @@
                     let side = if a.zone == self.at.zone { &mut self.load.near } else { &mut self.load.far };
                     *side += (x - *side) * 0.03;
                 }
-                if quiet {
-                    l.before = l.usual;
-                }
+                l.before = if quiet { l.usual } else { l.before };
             }
             if a.failing < SICK_SHARE && a.aside.take().is_some() {
                 a.aside_for = ASIDE_FIRST;
@@ -726,8 +726,8 @@
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
             good &= l.usual < l.quoted * EASY;
         }
-        // Guards against a limit that falls with the rate it lets through, once the newest build was seen to be
-        // slow: what stays slow though it has fallen far is no queue. May let waits grow by a fifth.
+        // Guards against a limit that falls with the rate it lets through, once the newest build was seen to
+        // be slow: what stays slow though it has fallen far is no queue. May let waits grow by a fifth.
         let limit = room + room.sqrt() + 2.0;
         let fell = limit < self.load.peak * FALLEN && self.drag.heavy && !good;
         self.lanes.iter_mut().filter(|_| fell).for_each(|l| l.least = l.usual);
@@ -754,16 +754,16 @@
     fn give_up(&mut self, id: u64) -> Answer {
         let Some(c) = self.commands.get(&id) else { return Answer::Wait };
         let harmless = c.harmless(self.lanes[c.lane].repeats);
-        self.close(id);
+        self.left(id);
         let come_back = self.at.come_back.map(|most| most.min(COME_BACK));
-        if harmless {
-            Answer::Deny { come_back }
-        } else {
-            Answer::Scrap
+        match harmless {
+            true => Answer::Deny { come_back },
+            false => Answer::Scrap,
         }
     }
 
-    fn close(&mut self, id: u64) {
+    /// The client went away, or has its final answer.
+    pub fn left(&mut self, id: u64) {
         if let Some(c) = self.commands.get_mut(&id) {
             c.closed = true;
             if c.deliveries.iter().all(|d| !d.out) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use crate::types::*;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 pub(crate) const fn ms(n: u64) -> Duration {
@@ -245,6 +245,11 @@
     }
 }
 
+/// The newest build before this one.
+pub(crate) fn earlier(builds: &BTreeMap<u32, Build>, build: u32) -> u32 {
+    builds.range(..build).next_back().map_or(0, |(number, _)| *number)
+}
+
 /// Chernoff's bound, as a logarithm, on `seen` among `all` where `usual` were to be expected.
 pub(crate) fn strange_count(seen: f64, usual: f64) -> f64 {
     if seen > usual {
