--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -22,9 +22,6 @@
 /// How long a client may take from its connection to its first whole command, and from the first byte of a
 /// message to its last. Guards against clients that hold a place and say nothing, or half of it.
 const HEARD_WITHIN: Duration = Duration::from_secs(2);
-/// How long a client may keep a connection without a command. Guards against those that ask once and hold it for
-/// good, who leave the others none. A command may cross with its end and is sent again.
-const IDLE_MOST: Duration = Duration::from_secs(2);
 /// How long, and how much, a client that was told of its end may still write.
 const HEARD_OUT: Duration = Duration::from_secs(1);
 const HEARD_OUT_MOST: usize = 1024 * 1024;
@@ -168,12 +165,11 @@
     }
     let came = |read: std::io::Result<usize>| if read.is_ok_and(|n| n > 0) { More::Came } else { More::Over };
     let late = async {
-        agent.until(whole_by.unwrap_or(agent.clock.now() + IDLE_MOST)).await;
-        if whole_by.is_some() {
-            More::Late
-        } else {
-            More::Over
+        match whole_by {
+            Some(at) => agent.until(at).await,
+            None => future::pending().await,
         }
+        More::Late
     };
     if !client.inbox.is_empty() {
         return async { came(client.more().await) }.or(late).await;
