The module is told what crossing means, by zone and lane, and weighs it

Need: budgets and routing for traffic across zones; the module knew one figure for all other zones. Change: Choice::crossings takes, by zone, what an appliance there draws, what the way adds to an answer, and the lanes that cross only where nothing near can answer; a part for cold appliances. rooms() counts what each zone holds. An id that returns in another zone at the same build is of that zone. Builds on trial cross as ever: no budget may leave one unjudged. The time of the way is left out of the drag test, so that a build that lives far is not held for it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,6 +69,7 @@
     news: Option<News>,
     drag: Drag,
     customer_load: Vec<f64>,
+    crossings: Crossings,
     warm_sends: Sends,
     sick_until: Duration,  // single machines of the earlier build fail, too
     lossy_until: Duration, // its answers are lost, too
@@ -128,7 +129,7 @@
                 self.fleet.resize_with(e.appliance + 1, Appliance::default);
             }
             let a = &self.fleet[e.appliance];
-            let same = a.build == e.build && a.started == e.started;
+            let same = a.build == e.build && a.started == e.started && a.zone == e.zone;
             if e.standing == Standing::Running && a.standing == Standing::Running && same {
                 continue;
             }
@@ -189,6 +190,32 @@
         self.votes.at = now + self.votes.gap.max(Duration::from_secs_f64(self.at.vote_share.min(2.0)));
     }
 
+    /// What crossing means from now on. It weighs where commands go; the rules come before it, and so does
+    /// the evidence on a build on trial, which its cap bounds.
+    pub fn crossings(&mut self, told: Crossings) {
+        self.crossings = told;
+    }
+
+    /// What each of so many zones holds now.
+    pub fn rooms(&self, now: Duration, zones: usize) -> Vec<Room> {
+        let (patience, mut rooms) = (self.patience(), vec![Room::default(); zones]);
+        for a in &self.fleet {
+            let Some(room) = rooms.get_mut(a.zone).filter(|_| a.standing != Standing::Gone) else { continue };
+            room.in_flight += a.in_flight;
+            if a.standing == Standing::Draining {
+                room.draining += 1;
+                continue;
+            }
+            room.running += 1;
+            if a.aside.is_none() && !a.silent(now, patience) {
+                room.awake += 1;
+                room.warm += usize::from(a.cold_since.is_none());
+                room.open += a.weight * self.at.ramp(now, a);
+            }
+        }
+        rooms
+    }
+
     /// A client found an answer of this appliance wrong.
     pub fn flag(&mut self, now: Duration, appliance: usize, lane: usize, age: Duration) {
         let Some(a) = self.fleet.get_mut(appliance) else { return };
@@ -510,8 +537,15 @@
         let count = |of: &dyn Fn(&Appliance) -> bool| self.running().filter(|(_, a)| of(a)).count() as f64;
         let (near, all) = (count(&|a| a.zone == self.at.zone), count(&|_| true).max(1.0));
         let warm = count(&|a| a.cold_since.is_none()).max(all / 2.0);
-        let carried = self.warm_sends.since(since) / warm;
-        let fair = (near + (all - near) * self.load.abroad) / all;
+        let carried = self.warm_sends.since(since) / warm * self.crossings.cold;
+        let told = |zone: usize| self.crossings.zones.get(zone).filter(|_| zone != self.at.zone);
+        let abroad = |zone: usize| told(zone).and_then(|t| t.draw).unwrap_or(self.load.abroad);
+        let side = |zone: usize| if zone == self.at.zone { 1.0 } else { abroad(zone) };
+        let fair = if self.crossings.zones.is_empty() {
+            (near + (all - near) * self.load.abroad) / all
+        } else {
+            self.running().map(|(_, a)| side(a.zone)).sum::<f64>() / all
+        };
         // Earlier appliances that go at the release leave their load to warm ones on trial, unless something
         // speaks against these. A bad build gets more of the late stages for it.
         let fresh: f64 =
@@ -520,7 +554,8 @@
         let doubted = self.drag.resting || self.drag.falls > 0 || self.builds.values().any(|b| b.regressed);
         let yields =
             if self.at.in_place || doubted { 1.0 } else { (1.0 - fresh / places.max(1.0)).max(LEFT) };
-        let mut pool: [Vec<(usize, f64, f64)>; 3] = Default::default();
+        let again = !c.deliveries.is_empty();
+        let mut pool: [Vec<(usize, f64, f64)>; 4] = Default::default();
         for (i, a) in self.running() {
             if a.build < floor
                 || !self.may_expose(a.build, c.lane)
@@ -538,14 +573,20 @@
             let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed)
                 || trial && (self.drag.resting || self.drag.falls > 1);
             // The build on trial gets an even share from every zone, a regressed one a trickle.
-            let side = if a.zone == self.at.zone { 1.0 } else { self.load.abroad };
-            let share = if trial { fair } else { side * yields };
+            let share = if trial { fair } else { side(a.zone) * yields };
             let draw = a.weight * ramp * share * if regressed && trial { TRICKLE } else { 1.0 };
             let tried = c.deliveries.iter().any(|d| d.appliance == i);
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
             let second =
                 trial && regressed && !idempotent || a.aside.is_some() && (!idempotent || a.in_flight > 0);
-            let rank = if resting || a.silent(now, patience) { 2 } else { usize::from(tried || second) };
+            // Where crossing is short it comes last of what can answer, but before what likely cannot. What is
+            // on trial crosses as ever: no budget may leave its build unjudged.
+            let spared = !trial && told(a.zone).is_some_and(|t| t.spares(c.lane, again));
+            let rank = match (resting || a.silent(now, patience), tried || second) {
+                (true, _) => 3,
+                (_, true) => 2,
+                _ => usize::from(spared),
+            };
             pool[rank].push((i, draw, a.in_flight as f64 / (a.weight * ramp)));
         }
         let fit = pool.iter().find(|p| !p.is_empty())?;
@@ -601,6 +642,7 @@
         let quiet = !self.running().any(|(_, a)| self.on_trial(a.build));
         let round = self.fleet.len() as f64 / self.lanes.iter().map(|l| l.rate).sum::<f64>().max(1.0);
         let round = Duration::from_secs_f64(round).clamp(ASIDE_FIRST, ASIDE_MOST * 2);
+        let way = self.crossings.zones.get(self.fleet[i].zone).map_or(0.0, |t| t.added.as_secs_f64());
         let (a, l) = (&mut self.fleet[i], &mut self.lanes[lane]);
         let took = end.took.as_secs_f64();
         a.in_flight = a.in_flight.saturating_sub(1);
@@ -654,10 +696,12 @@
                 follow(&mut a.high, x);
             }
             if a.cold_since.is_none() && !stalled {
-                let step = if took > l.half { 1.03 } else { 0.97 };
+                // Guards a build that only other zones hold: the way there is not its work.
+                let bare = (took - way).max(0.0);
+                let step = if bare > l.half { 1.03 } else { 0.97 };
                 l.half *= if quiet { step } else { 1.0 };
                 let counted = !quiet && (newest || a.zone == self.at.zone);
-                self.drag.hear(took / l.before, usize::from(newest), counted.then_some(took <= l.half));
+                self.drag.hear(bare / l.before, usize::from(newest), counted.then_some(bare <= l.half));
                 if !trial {
                     l.seen = (l.seen + 1.0).min(50.0);
                     l.usual += (took.min(l.usual * 10.0) - l.usual) / l.seen;
--- a/src/types.rs
+++ b/src/types.rs
@@ -3,6 +3,55 @@
 
 use std::time::Duration;
 
+/// What sending to the other zones means just now, told by the account of what crosses. Nothing told: as ever.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Crossings {
+    /// By zone, as numbered in [`Listed::zone`]; the own zone's is not read.
+    pub zones: Vec<Crossing>,
+    /// What part of its share a cold appliance gets, 0 to 1: less while warm ones just took over much.
+    pub cold: f64,
+}
+
+impl Default for Crossings {
+    fn default() -> Crossings {
+        Crossings { zones: Vec::new(), cold: 1.0 }
+    }
+}
+
+/// One zone other than the agent's own.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Crossing {
+    /// What an appliance there draws against a near one, 0 to 1; `None`: the module's own figure.
+    pub draw: Option<f64>,
+    /// What the way there and back adds to each answer.
+    pub added: Duration,
+    /// By lane, for first deliveries: it goes there only where no near appliance can take it.
+    pub last: Vec<bool>,
+    /// The same for further deliveries and second copies.
+    pub again_last: Vec<bool>,
+}
+
+impl Crossing {
+    /// Whether a delivery of this lane goes there only where no near appliance can take it.
+    pub fn spares(&self, lane: usize, again: bool) -> bool {
+        let last = if again { &self.again_last } else { &self.last };
+        last.get(lane) == Some(&true)
+    }
+}
+
+/// What one zone holds, for whoever accounts for what crosses: counts of appliances.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Room {
+    pub running: usize,
+    pub draining: usize,
+    /// Neither at rest nor silent.
+    pub awake: usize,
+    pub warm: usize, // of those awake
+    /// What those awake can take, in warm appliances of usual pace.
+    pub open: f64,
+    pub in_flight: usize,
+}
+
 /// What an agent reads once, at its start.
 #[derive(Clone, Debug)]
 pub struct Deployment {
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -401,3 +401,37 @@
     w.serve(200, 0, ms(20), |_| Outcome::Satisfied);
     assert!(got(&w, 8) - before > 150, "{}", got(&w, 8) - before);
 }
+
+/// Where commands go when the other zone's appliances (odd ones) are told of like this.
+fn sides(far: Crossing, lane: usize, entries: &[Listed]) -> [usize; 2] {
+    let mut w = World::new(deployment(3));
+    w.list(entries);
+    w.choice.crossings(Crossings { zones: vec![Crossing::default(), far], cold: 1.0 });
+    w.serve(200, lane, ms(10), |_| Outcome::Satisfied);
+    let far = w.sends.iter().filter(|(_, i)| i % 2 == 1).count();
+    [w.sends.len() - far, far]
+}
+
+#[test]
+fn what_is_told_of_crossing_weighs_and_what_crosses_last_goes_only_where_nothing_near_can() {
+    let four: Vec<Listed> = (0..4).map(|i| listed(i, 7, None)).collect();
+    let [near, far] = sides(Crossing { draw: Some(0.1), ..Crossing::default() }, 0, &four);
+    assert!(far > 3 && near > 4 * far, "{near} {far}");
+    let last = Crossing { draw: Some(1.0), last: vec![true, false, false], ..Crossing::default() };
+    assert_eq!(sides(last.clone(), 0, &four), [200, 0]);
+    let [_, other_lane] = sides(last.clone(), 2, &four);
+    assert!(other_lane > 50, "only the lanes that are named");
+    let drained: Vec<Listed> = (0..4)
+        .map(|i| Listed { standing: [Standing::Draining, Standing::Running][i % 2], ..listed(i, 7, None) })
+        .collect();
+    assert_eq!(sides(last, 0, &drained), [0, 200]);
+}
+
+#[test]
+fn an_id_that_returns_in_another_zone_at_the_same_build_is_of_that_zone() {
+    let mut w = World::new(deployment(4));
+    w.list(&[listed(0, 7, None)]);
+    assert_eq!(w.choice.rooms(w.now, 2).iter().map(|r| r.running).collect::<Vec<_>>(), [1, 0]);
+    w.list(&[Listed { zone: 1, ..listed(0, 7, None) }]);
+    assert_eq!(w.choice.rooms(w.now, 2).iter().map(|r| r.running).collect::<Vec<_>>(), [0, 1]);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -58,6 +58,7 @@
                 w.choice.reply(w.now, all[i % 4]);
                 w.choice.list_failed(w.now);
             }
+            15 if w.d.crossing_price > 0.1 => w.choice.crossings(crossings(*how)),
             _ => w.pass(ms(u64::from(*how))),
         }
         if *what > 200 {
@@ -68,6 +69,18 @@
     assert!(w.held.values().all(|h| h.answers.len() == 1), "every command has its one answer");
 }
 
+/// What crossing means, drawn anew: any draws, any lanes that cross last, any part for cold ones.
+fn crossings(how: u8) -> Crossings {
+    let bits = |n: u8| (0..3).map(|lane| how >> (lane + n) & 1 == 1).collect();
+    let far = Crossing {
+        draw: (!how.is_multiple_of(3)).then(|| f64::from(how % 16) / 15.0),
+        added: ms(u64::from(how)),
+        last: bits(0),
+        again_last: bits(3),
+    };
+    Crossings { zones: vec![Crossing::default(), far], cold: 0.2 + f64::from(how % 5) / 5.0 }
+}
+
 fn check(seed: u64, run: fn(Vec<(u8, u8)>)) {
     QuickCheck::new().rng(Gen::from_size_and_seed(300, seed)).tests(40).quickcheck(run);
 }
@@ -105,3 +118,12 @@
         play(d, &script);
     });
 }
+
+#[test]
+fn crossings_told_anew_again_and_again() {
+    check(5, |script| {
+        let mut d = deployment(5);
+        (d.second_copies, d.crossing_price) = (true, 0.2);
+        play(d, &script);
+    });
+}
