--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -1,9 +1,13 @@
 //! The one place where a deployment's settings are read, checked and given defaults. A fault names its key.
 
+mod document;
 mod fields;
+mod installation;
 mod instance;
 
+pub use document::Mistake;
 pub use fields::{millis, span, Fields};
+pub use installation::{Door, Installation, LogForm, UNNAMED};
 pub use instance::Instance;
 use serde_json::Value;
 use std::collections::HashMap;
--- /dev/null
+++ b/crates/deployment/tests/installation.rs
@@ -0,0 +1,190 @@
+//! An installation's file: what is read from it, and how its mistakes are named.
+
+use quickcheck::{Gen, QuickCheck};
+use serde_json::json;
+use std::time::Duration;
+use tulipwall_deployment::{Door, Fields, Installation, LogForm, Mistake, Site};
+use tulipwall_zones::{Limit, Price, Routing};
+
+const GOOD: &str = r#"// A comment.
+log "json"
+door "127.0.0.1:9190"
+zones {
+    routing "near-first"
+    link "east" "west" {
+        delay "4ms"
+        price delivery=0.00001 out-gib=0.02 in-gib=0
+    }
+    link "west" "east" { delay "6ms"; }
+    link "east" "(unnamed)" { price out-gib=9; }
+    budget "all" {
+        deliveries 1000
+        bytes "64MiB"
+        window "10m"
+    }
+    budget "views" { to "west"; lane "view"; share 0.05; part 0.5; }
+    budget "theirs" { to "east"; money 3; }
+}
+"#;
+
+fn site() -> Site {
+    let class =
+        |name: &str| json!({"name": name, "aim-ms": 400.0, "idempotency": "repeatable", "points": 3.0});
+    let settings = json!({"zones": ["east", "west"], "zone": "east", "classes": [class("view"), class("send")],
+        "discovery": "push", "instances": 4, "rules": {}, "prices": {},
+        "limits": {"try-limit": 5},
+        "domain": {"most-shares": [1.0], "cap-scope": "all", "decided-by": "timer", "swap": "beside",
+            "vote-ttl-ms": 1.0, "vote-wait-ms": 1.0}});
+    Site::read(&Fields::of(&settings, "settings").unwrap(), 1).unwrap()
+}
+
+fn mistakes(text: &str) -> Vec<String> {
+    let read = Installation::read(text).and_then(|i| i.zoning(&site()));
+    read.map_or_else(|all: Vec<Mistake>| all.iter().map(Mistake::to_string).collect(), |_| Vec::new())
+}
+
+#[test]
+fn what_is_given_is_read_and_what_is_not_has_its_default() {
+    let installation = Installation::read(GOOD).unwrap();
+    assert_eq!(installation.log, Some(LogForm::Json));
+    assert_eq!(installation.door, Some(Door::Tcp("127.0.0.1:9190".parse().unwrap())));
+    let z = installation.zoning(&site()).unwrap().unwrap();
+    assert_eq!((z.own, z.zones, z.routing), (0, 2, Routing::NearFirst));
+    assert_eq!(z.links[1].delay, Some(Duration::from_millis(4)), "not that of the way back");
+    assert_eq!(z.links[1].price, Price { delivery: 0.00001, out_gib: 0.02, in_gib: 0.0 });
+    assert_eq!(z.links[2].price.out_gib, 9.0, "the way to what has no name");
+    let budgets: Vec<_> =
+        z.budgets.iter().map(|b| (b.name.as_str(), b.limit, b.window.as_secs(), b.part)).collect();
+    assert_eq!(
+        budgets,
+        [
+            ("all", Limit::Deliveries(1000.0), 600, 0.25),
+            ("all", Limit::Bytes(64.0 * 1024.0 * 1024.0), 600, 0.25),
+            ("views", Limit::Share(0.05), 3600, 0.5),
+        ],
+        "one for the way to its own zone is some other agent's"
+    );
+    let nothing = Installation::read("").unwrap();
+    assert_eq!((nothing.zoning(&site()).unwrap(), &nothing.door, nothing.log), (None, &None, None));
+}
+
+#[test]
+fn each_mistake_is_named_by_line_column_key_and_what_is_wanted() {
+    let text = r#"log "xml"
+zones {
+    routing "nearest"
+    link "east" { delay "4 parsecs"; }
+    link "east" "east"
+    budgt "a" { share 1; }
+    budget "b" {
+        shrae 0.5
+        window 5
+        lane 7
+    }
+    budget "c" { deliveries "many"; deliveries 2; part 1.5; }
+    budget "c" { share 0.1 extra=1; }
+}
+"#;
+    let all = mistakes(text);
+    let wanted = [
+        "1:1: log: one of text, json is wanted, not \"xml\"",
+        "3:5: routing: one of as-ever, near-first is wanted, not \"nearest\"",
+        "4:5: link: 2 values are wanted, 1 given",
+        "4:25: delay: a span like \"250ms\" or \"1h\" is wanted, not \"4 parsecs\"",
+        "5:5: link: two zones are wanted, not 'east' twice",
+        "6:5: budgt: unknown in zones; did you mean 'budget'?",
+        "8:9: shrae: unknown in budget; did you mean 'share'?",
+        "9:16: window: a span of 1s or more like \"250ms\" or \"1h\" is wanted, not 5",
+        "10:14: lane: text is wanted, not 7",
+        "12:29: deliveries: a number from 0 to 1000000000000000 is wanted, not many",
+        "12:37: deliveries: stands twice in budget",
+    ];
+    for w in wanted {
+        assert!(all.iter().any(|m| m == w), "{w}\nin {all:#?}");
+    }
+    assert!(all.iter().any(|m| m.starts_with("12:56: part: a number from 0 to 1 is wanted")), "{all:#?}");
+    assert!(all.iter().any(|m| m.contains("13:5: budget: the name 'c' stands twice")), "{all:#?}");
+    assert!(all.iter().any(|m| m == "13:28: extra: no properties are known in share"), "{all:#?}");
+    let mut sorted = Installation::read(text).unwrap_err();
+    sorted.sort();
+    assert_eq!(Installation::read(text).unwrap_err(), sorted, "in the order of their lines");
+    let broken = mistakes("zones {\n  routing \"near-first\n}\n");
+    assert!(!broken.is_empty() && broken.iter().all(|m| m.contains("syntax")), "{broken:?}");
+}
+
+#[test]
+fn names_that_the_deployment_does_not_have_are_mistakes() {
+    let all = mistakes(
+        "zones {\n    link \"east\" \"south\"\n    budget \"b\" { to \"north\"; lane \"viwe\"; share 1; }\n}",
+    );
+    assert_eq!(all.len(), 3, "{all:?}");
+    assert!(all[0].starts_with("2:5: link: no zone 'south' in the settings; they have east, west"));
+}
+
+#[test]
+fn prices_of_zero_are_taken_and_absurd_figures_are_not() {
+    let price = |p: &str| mistakes(&format!("zones {{ link \"east\" \"west\" {{ price out-gib={p}; }}; }}"));
+    assert!(price("0").is_empty() && price("0.0").is_empty() && price("1e12").is_empty());
+    for absurd in ["-1", "1e13", "#inf", "#nan", "#-inf", "#true", "\"9\"", "#null", "1e400"] {
+        assert_eq!(price(absurd).len(), 1, "{absurd}: {:?}", price(absurd));
+    }
+    let budget = |b: &str| mistakes(&format!("zones {{ budget \"b\" {{ {b}; }}; }}"));
+    assert!(
+        budget("deliveries 0").is_empty() && budget("bytes 0").is_empty() && budget("money 0").is_empty()
+    );
+    for absurd in [
+        "deliveries -1",
+        "deliveries 1e16",
+        "bytes \"9PiB\"",
+        "bytes \"GiB\"",
+        "bytes -5",
+        "money #inf",
+        "share 1.1",
+        "share 0.1; window \"0s\"",
+        "share 0.1; window \"999999999999d\"",
+        "share 0.1; window \"1e3s\"",
+        "share 0.1; part -0.1",
+        "window \"1h\"",
+        "deliveries 99999999999999999999999999999999999999999999",
+    ] {
+        assert!(!budget(absurd).is_empty(), "{absurd}");
+    }
+}
+
+#[test]
+fn no_text_makes_it_panic() {
+    const PIECES: [&str; 25] = [
+        "zones",
+        " ",
+        "{",
+        "}",
+        "\n",
+        "\"",
+        "budget",
+        "link",
+        "\"a\"",
+        "=",
+        "1",
+        "#nan",
+        "/*",
+        "*/",
+        ";",
+        "é",
+        "\\",
+        "share 0.5",
+        "window \"1h\"",
+        "(t)",
+        "r#\"",
+        "\u{0}",
+        "//",
+        "/-",
+        "delay",
+    ];
+    fn read(picks: Vec<u8>) {
+        let text: String = picks.iter().map(|p| PIECES[*p as usize % PIECES.len()]).collect();
+        let _ = Installation::read(&text).and_then(|i| i.zoning(&site()));
+    }
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, 9)).tests(2000).quickcheck(read as fn(Vec<u8>));
+    assert!(Installation::read(&"{".repeat(100_000)).is_err());
+    assert!(Installation::read(&"a".repeat(2 * 1024 * 1024)).is_err());
+}
--- /dev/null
+++ b/crates/standins/src/day.rs
@@ -0,0 +1,886 @@
+//! A day in simulated time: agents with the real decisions and the real zones against modelled appliances. It
+//! is played from a seed and a script, takes no real time to speak of, and checks the five rules from outside:
+//! by what was taken, sent, run and answered, not by what an agent says.
+
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+use tulipwall::*;
+use tulipwall_zones::{Ended, Flaw, Opening, Sending, Ticket, Zones, Zoning};
+
+/// Time at which a day begins, so that what began before has a time, too.
+pub const ZERO: Duration = Duration::from_secs(3600);
+/// How late a final answer may be, and how soon a drain must be heeded.
+const SLACK: Duration = Duration::from_millis(50);
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+/// A cold appliance falls over when it gets so many times what it can do.
+const FALL_MULTIPLE: f64 = 4.0;
+/// What a delivery carries each way, in bytes.
+pub const BYTES: (u64, u64) = (180, 420);
+
+/// A modelled appliance.
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub zone: usize,
+    pub build: u32,
+    pub cores: usize,
+    /// What it takes of the usual work: 2.0 is half as quick.
+    pub slowness: f64,
+    /// Commands that may wait; what comes beyond is turned away.
+    pub queue: usize,
+    /// Answers that fail, 0 to 1.
+    pub fails: f64,
+    pub standing: Standing,
+    pub started: Option<Duration>,
+    /// Neither answers nor refuses.
+    pub mute: bool,
+}
+
+impl Node {
+    pub fn new(zone: usize, build: u32, cores: usize) -> Node {
+        Node {
+            zone,
+            build,
+            cores,
+            slowness: 1.0,
+            queue: 200,
+            fails: 0.0,
+            standing: Standing::Running,
+            started: None,
+            mute: false,
+        }
+    }
+}
+
+/// One agent: its zone, its part of the load, and what it is told of zones.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    pub zone: usize,
+    pub part: f64,
+    pub zoning: Option<Zoning>,
+}
+
+/// Something that happens.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// What the list says of an appliance from now on; a start now makes it cold.
+    Lists(usize, Standing),
+    Starts(usize),
+    Moves(usize, usize),
+    Slows(usize, f64),
+    Fails(usize, f64),
+    Mutes(usize, bool),
+    News(News),
+    /// Commands a second, over all agents.
+    Rate(f64),
+    Stalls(usize, Duration),
+    Zoning(usize, Zoning),
+    /// One direction of the way between two zones.
+    Link(usize, usize, Duration),
+}
+
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub deployment: Deployment,
+    pub agents: Vec<Caller>,
+    pub nodes: Vec<Node>,
+    /// Delay from zone to zone, one way.
+    pub ways: Vec<Vec<Duration>>,
+    /// Mean work of each lane.
+    pub work: Vec<Duration>,
+    /// Weights of lanes, and how long a command of each may take.
+    pub lanes: Vec<(f64, Duration)>,
+    pub rate: f64,
+    pub span: Duration,
+    pub news: Option<News>,
+    /// When, counted from the day's beginning, in any order.
+    pub script: Vec<(Duration, Change)>,
+    pub seed: u64,
+}
+
+/// What one agent did in one second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Second {
+    pub taken: u64,
+    pub near: u64,
+    pub far: u64,
+}
+
+/// What came of a day.
+#[derive(Debug)]
+pub struct Played {
+    pub taken: u64,
+    pub satisfied: u64,
+    /// Within their quoted time.
+    pub in_time: u64,
+    pub denied: u64,
+    pub scrapped: u64,
+    pub never: u64,
+    /// Microseconds to satisfied answers, also of single seconds.
+    pub times: Histogram<u64>,
+    pub second_times: Vec<Histogram<u64>>,
+    pub seconds: Vec<Vec<Second>>, // by agent
+    /// Crossings by agent and second: when, lane, whether it was over a budget.
+    pub crossings: Vec<Vec<(Duration, usize, Option<tulipwall_zones::Reason>)>>,
+    /// Broken rules.
+    pub broken: Vec<String>,
+    pub votes: Vec<(Duration, Vote)>,
+    /// Sends by appliance.
+    pub sends: Vec<u64>,
+    /// The agents' zones at the end.
+    pub zones: Vec<Option<Zones>>,
+    /// All answers of the decisions, folded into one number: equal days give equal ones.
+    pub digest: u64,
+}
+
+impl Played {
+    /// Of all deliveries, what crossed.
+    pub fn crossed(&self) -> f64 {
+        let sum = |of: fn(&Second) -> u64| self.seconds.iter().flatten().map(of).sum::<u64>() as f64;
+        sum(|s| s.far) / (sum(|s| s.far) + sum(|s| s.near)).max(1.0)
+    }
+
+    /// The same between two times of the day.
+    pub fn crossed_between(&self, from: u64, to: u64) -> f64 {
+        let part = || self.seconds.iter().flat_map(|a| &a[from as usize..(to as usize).min(a.len())]);
+        let (near, far) = (part().map(|s| s.near).sum::<u64>(), part().map(|s| s.far).sum::<u64>());
+        far as f64 / (near + far).max(1) as f64
+    }
+
+    /// How often an agent changed sides in a minute: seconds with most across after seconds with hardly any,
+    /// and back.
+    pub fn turns_per_minute(&self) -> f64 {
+        let (mut turns, mut minutes) = (0, 0.0);
+        for agent in &self.seconds {
+            let mut over = false;
+            for s in agent.iter().filter(|s| s.near + s.far > 0) {
+                let part = s.far as f64 / (s.near + s.far) as f64;
+                if (over && part < 0.25) || (!over && part > 0.5) {
+                    (over, turns) = (!over, turns + 1);
+                }
+            }
+            minutes += agent.len() as f64 / 60.0;
+        }
+        f64::from(turns) / minutes.max(1e-9)
+    }
+
+    pub fn quantile_ms(&self, part: f64) -> f64 {
+        self.times.value_at_quantile(part) as f64 / 1000.0
+    }
+
+    /// The same of commands answered between two seconds of the day.
+    pub fn quantile_between(&self, part: f64, from: usize, to: usize) -> f64 {
+        let mut all = histogram();
+        self.second_times[from..to.min(self.second_times.len())]
+            .iter()
+            .for_each(|h| all.add(h).unwrap_or(()));
+        all.value_at_quantile(part) as f64 / 1000.0
+    }
+
+    pub fn over(&self) -> usize {
+        self.crossings.iter().flatten().filter(|c| c.2.is_some()).count()
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).unwrap_or_else(|_| unreachable!("bounds that are taken"))
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Script(usize),
+    Arrive(usize),
+    Tick(usize),
+    Reach { agent: usize, id: u64, nth: usize, node: usize, life: u64 },
+    Done { node: usize, life: u64, slot: u64 },
+    Back { agent: usize, id: u64, nth: usize, how: How },
+    Look { agent: usize, id: u64, at: Duration },
+    TimeOut { agent: usize, id: u64, nth: usize },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum How {
+    Satisfied,
+    Failed,
+    TurnedAway,
+    Refused,
+}
+
+struct Out {
+    node: usize,
+    zone: usize,
+    sent: Duration,
+    ended: bool,
+    ticket: Option<Ticket>,
+    connected: bool,
+}
+
+struct Held {
+    lane: usize,
+    taken: Duration,
+    expires: Duration,
+    out: Vec<Out>,
+    answered: bool,
+    look: Option<Duration>,
+}
+
+struct Runner {
+    zone: usize,
+    choice: Choice,
+    zones: Option<Zones>,
+    held: BTreeMap<u64, Held>,
+    next: u64,
+    stalled: Duration,
+    warm: Vec<bool>,                 // appliances to which a connection is open
+    told: BTreeMap<usize, Duration>, // when it heard that an appliance drains or is gone
+    exposed: f64, // the most deliveries less cap times commands in any window that ends now
+    cap: f64,
+    exposing: bool,
+}
+
+struct Job {
+    agent: usize,
+    id: u64,
+    nth: usize,
+}
+
+#[derive(Default)]
+struct Running {
+    life: u64,
+    busy: BTreeMap<u64, Job>,
+    waits: VecDeque<Job>,
+    slots: u64,
+    work: VecDeque<(Duration, f64)>, // what came to it while cold, in core-seconds
+}
+
+struct Stage {
+    day: Day,
+    now: Duration,
+    rng: Pcg64Mcg,
+    queue: BinaryHeap<std::cmp::Reverse<(Duration, u64, What)>>,
+    order: u64,
+    agents: Vec<Runner>,
+    running: Vec<Running>,
+    ran: BTreeMap<(usize, u64), Vec<(usize, Duration)>>, // node and when, of what may not simply repeat
+    news: Option<News>,
+    played: Played,
+}
+
+impl Day {
+    /// Plays it.
+    pub fn play(self) -> Played {
+        let mut stage = Stage::new(self);
+        stage.run();
+        stage.played
+    }
+}
+
+impl Stage {
+    fn new(day: Day) -> Stage {
+        let seconds = day.span.as_secs() as usize + 1;
+        let mut agents = Vec::new();
+        for (n, a) in day.agents.iter().enumerate() {
+            let seed = day.seed.wrapping_mul(1_000_003).wrapping_add(n as u64);
+            let d =
+                Deployment { seed, zone: a.zone, agents: day.agents.len() as u32, ..day.deployment.clone() };
+            let mut choice = Choice::new(ZERO, d);
+            let entries: Vec<Listed> = (0..day.nodes.len()).map(|i| listed(&day.nodes, i)).collect();
+            choice.list(ZERO, &entries, true);
+            if let Some(news) = &day.news {
+                choice.news(news.clone());
+            }
+            agents.push(Runner {
+                zone: a.zone,
+                choice,
+                zones: a.zoning.clone().map(|z| Zones::new(ZERO, z)),
+                held: BTreeMap::new(),
+                next: 0,
+                stalled: ZERO,
+                warm: vec![false; day.nodes.len()],
+                told: BTreeMap::new(),
+                exposed: 0.0,
+                cap: 0.0,
+                exposing: false,
+            });
+        }
+        let played = Played {
+            taken: 0,
+            satisfied: 0,
+            in_time: 0,
+            denied: 0,
+            scrapped: 0,
+            never: 0,
+            times: histogram(),
+            second_times: (0..seconds).map(|_| histogram()).collect(),
+            seconds: vec![vec![Second::default(); seconds]; agents.len()],
+            crossings: vec![Vec::new(); agents.len()],
+            broken: Vec::new(),
+            votes: Vec::new(),
+            sends: vec![0; day.nodes.len()],
+            zones: Vec::new(),
+            digest: 0xcbf2_9ce4_8422_2325,
+        };
+        Stage {
+            now: ZERO,
+            rng: Pcg64Mcg::seed_from_u64(day.seed),
+            queue: BinaryHeap::new(),
+            order: 0,
+            running: day.nodes.iter().map(|_| Running::default()).collect(),
+            agents,
+            ran: BTreeMap::new(),
+            news: day.news.clone(),
+            played,
+            day,
+        }
+    }
+
+    fn at(&mut self, when: Duration, what: What) {
+        self.order += 1;
+        self.queue.push(std::cmp::Reverse((when.max(self.now), self.order, what)));
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.rng.gen_range(0.0..1.0)
+    }
+
+    fn run(&mut self) {
+        for n in 0..self.day.script.len() {
+            self.at(ZERO + self.day.script[n].0, What::Script(n));
+        }
+        self.caps();
+        for agent in 0..self.agents.len() {
+            self.at(ZERO + Duration::from_micros(137 * agent as u64), What::Tick(agent));
+            self.next_arrival(agent);
+        }
+        // Some seconds more, so that what was taken is answered.
+        let end = ZERO + self.day.span + Duration::from_secs(5);
+        while let Some(std::cmp::Reverse((when, _, what))) = self.queue.pop() {
+            if when > end {
+                break;
+            }
+            self.now = when;
+            let agent = match what {
+                What::Arrive(a) | What::Tick(a) => Some(a),
+                What::Back { agent, .. } | What::Look { agent, .. } | What::TimeOut { agent, .. } => {
+                    Some(agent)
+                }
+                _ => None,
+            };
+            // An agent that stands still finds all of it once it goes on, in its order.
+            if let Some(until) = agent.map(|a| self.agents[a].stalled).filter(|t| *t > self.now) {
+                self.at(until, what);
+                continue;
+            }
+            self.step(what);
+        }
+        for a in &mut self.agents {
+            for (id, h) in a.held.iter().filter(|(_, h)| !h.answered) {
+                self.played.never += 1;
+                self.played.broken.push(format!("rule 1: command {id} of lane {} has no answer", h.lane));
+            }
+            self.played.zones.push(a.zones.take());
+        }
+    }
+
+    fn step(&mut self, what: What) {
+        match what {
+            What::Script(n) => {
+                let change = self.day.script[n].1.clone();
+                self.change(change);
+            }
+            What::Arrive(agent) => {
+                self.arrive(agent);
+                self.next_arrival(agent);
+            }
+            What::Tick(agent) => {
+                let (now, a) = (self.now, &mut self.agents[agent]);
+                let due = a.choice.wait(now);
+                if let Some(vote) = due.vote {
+                    self.played.votes.push((now - ZERO, vote));
+                    a.choice.reply(now, Reply::Counted);
+                }
+                if let Some(z) = &mut a.zones {
+                    let rooms = a.choice.rooms(now, z.zoning().all());
+                    z.step(now, &rooms);
+                    if let Some(told) = z.crossings() {
+                        a.choice.crossings(told);
+                    }
+                }
+                self.at(due.until.max(now + Duration::from_millis(1)), What::Tick(agent));
+            }
+            What::Reach { agent, id, nth, node, life } => self.reach(agent, id, nth, node, life),
+            What::Done { node, life, slot } => self.done(node, life, slot),
+            What::Back { agent, id, nth, how } => self.back(agent, id, nth, how),
+            What::Look { agent, id, at } => {
+                let due = self.agents[agent].held.get(&id).is_some_and(|h| !h.answered && h.look == Some(at));
+                if due {
+                    let answer = self.agents[agent].choice.place(self.now, id);
+                    self.obey(agent, id, answer);
+                }
+            }
+            What::TimeOut { agent, id, nth } => {
+                let out = |h: &Held| h.out.get(nth).is_some_and(|o| !o.ended);
+                if self.agents[agent].held.get(&id).is_some_and(out) {
+                    self.end(agent, id, nth, Outcome::TimedOut);
+                }
+            }
+        }
+    }
+
+    fn next_arrival(&mut self, agent: usize) {
+        let parts: f64 = self.day.agents.iter().map(|a| a.part).sum();
+        let rate = self.day.rate * self.day.agents[agent].part / parts.max(1e-9);
+        let gap = -(1.0 - self.chance()).ln() / rate.max(1e-6);
+        let when = self.now + Duration::from_secs_f64(gap.min(1e6));
+        if when < ZERO + self.day.span {
+            self.at(when, What::Arrive(agent));
+        }
+    }
+
+    fn second(&mut self, agent: usize) -> &mut Second {
+        let second = (self.now - ZERO).as_secs() as usize;
+        let seconds = &mut self.played.seconds[agent];
+        let last = seconds.len() - 1;
+        &mut seconds[second.min(last)]
+    }
+
+    fn arrive(&mut self, agent: usize) {
+        let weights: f64 = self.day.lanes.iter().map(|l| l.0).sum();
+        let mut drawn = self.chance() * weights;
+        let lane = self.day.lanes.iter().position(|l| {
+            drawn -= l.0;
+            drawn < 0.0
+        });
+        let lane = lane.unwrap_or(0);
+        let left = self.day.lanes[lane].1;
+        let key = Some(self.rng.gen_range(0..100_000));
+        let (now, a) = (self.now, &mut self.agents[agent]);
+        let id = a.next;
+        a.next += 1;
+        let held =
+            Held { lane, taken: now, expires: now + left, out: Vec::new(), answered: false, look: None };
+        a.held.insert(id, held);
+        a.exposed = (a.exposed - a.cap).max(0.0);
+        if let Some(z) = &mut a.zones {
+            z.taken(now, lane);
+        }
+        a.choice.take(now, id, Command { lane, customer: None, key, left });
+        let answer = a.choice.place(now, id);
+        self.played.taken += 1;
+        self.second(agent).taken += 1;
+        self.at(now + left + SLACK + Duration::from_millis(1), What::Look { agent, id, at: Duration::MAX });
+        self.obey(agent, id, answer);
+    }
+
+    fn fold(&mut self, agent: usize, id: u64, answer: &Answer) {
+        let said = format!("{agent} {id} {answer:?}");
+        let fold = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        self.played.digest = said.bytes().fold(self.played.digest, fold);
+    }
+
+    fn obey(&mut self, agent: usize, id: u64, answer: Answer) {
+        self.fold(agent, id, &answer);
+        let now = self.now;
+        match answer {
+            Answer::Send { appliance, time_out, look } => self.send(agent, id, appliance, time_out, look),
+            Answer::NotYet { until } => self.look(agent, id, until),
+            Answer::Deny { .. } => {
+                let h = &self.agents[agent].held[&id];
+                let repeats = self.day.deployment.lanes[h.lane].repeats;
+                let ran = self.ran.get(&(agent, id)).is_some_and(|r| !r.is_empty());
+                if ran && repeats == Repeats::Unrepeatable {
+                    self.played.broken.push(format!("rule 2: command {id} was denied and had run"));
+                }
+                self.played.denied += 1;
+                self.answered(agent, id);
+            }
+            Answer::Scrap => {
+                self.played.scrapped += 1;
+                self.answered(agent, id);
+            }
+            Answer::Withdraw { delivery } => {
+                let out = |h: &Held| h.out.get(delivery).is_some_and(|o| !o.ended);
+                if self.agents[agent].held.get(&id).is_some_and(out) {
+                    self.end(agent, id, delivery, Outcome::Withdrawn);
+                }
+            }
+            Answer::Wait => {}
+        }
+        let late = self.agents[agent].held.get(&id).is_some_and(|h| !h.answered && now > h.expires + SLACK);
+        if late && self.agents[agent].stalled + SLACK < now {
+            self.played.broken.push(format!("rule 1: command {id} is late"));
+        }
+    }
+
+    fn look(&mut self, agent: usize, id: u64, at: Duration) {
+        if let Some(h) = self.agents[agent].held.get_mut(&id) {
+            h.look = Some(at);
+            self.at(at, What::Look { agent, id, at });
+        }
+    }
+
+    fn answered(&mut self, agent: usize, id: u64) {
+        let Some(h) = self.agents[agent].held.get_mut(&id) else { return };
+        if h.answered {
+            self.played.broken.push(format!("rule 1: command {id} has two answers"));
+        }
+        h.answered = true;
+        if self.now > h.expires + SLACK && self.agents[agent].stalled + SLACK < self.now {
+            self.played.broken.push(format!("rule 1: command {id} was answered late"));
+        }
+        self.forget(agent, id);
+    }
+
+    fn forget(&mut self, agent: usize, id: u64) {
+        let over = |h: &Held| h.answered && h.out.iter().all(|o| o.ended);
+        if self.agents[agent].held.get(&id).is_some_and(over) {
+            self.agents[agent].held.remove(&id);
+        }
+    }
+
+    fn send(&mut self, agent: usize, id: u64, node: usize, time_out: Duration, look: Option<Duration>) {
+        let now = self.now;
+        let n = self.day.nodes[node].clone();
+        self.played.sends[node] += 1;
+        self.check_send(agent, id, node, &n);
+        let trial = self.on_trial(n.build);
+        let a = &mut self.agents[agent];
+        let Some(h) = a.held.get_mut(&id) else { return };
+        let nth = h.out.len();
+        let repeats = self.day.deployment.lanes[h.lane].repeats;
+        let grouped = matches!(repeats, Repeats::Deduplicated { group: Group::Zone | Group::Cell, .. });
+        let sending = Sending {
+            to: n.zone,
+            lane: h.lane,
+            build: n.build,
+            nth,
+            second_copy: h.out.iter().any(|o| !o.ended),
+            trial,
+            bound: grouped && nth > 0 && self.ran.contains_key(&(agent, id)),
+        };
+        let choice = &a.choice;
+        let ticket = a.zones.as_mut().map(|z| {
+            let all = z.zoning().all();
+            z.sent(now, sending, || choice.rooms(now, all))
+        });
+        if let Some(told) = a.zones.as_mut().and_then(Zones::crossings) {
+            a.choice.crossings(told);
+        }
+        let far = n.zone != a.zone;
+        if far {
+            let over = ticket.as_ref().and_then(|t| t.over);
+            self.played.crossings[agent].push((now - ZERO, h.lane, over));
+        }
+        let connected = std::mem::replace(&mut a.warm[node], true);
+        h.out.push(Out { node, zone: n.zone, sent: now, ended: false, ticket, connected });
+        h.look = look;
+        let zone = a.zone;
+        let second = self.second(agent);
+        if far {
+            second.far += 1;
+        } else {
+            second.near += 1;
+        }
+        let way = self.day.ways[zone][n.zone];
+        // A first connection goes there and back once before.
+        let first = if connected { Duration::ZERO } else { way + self.day.ways[n.zone][zone] };
+        let life = self.running[node].life;
+        self.at(now + first + way, What::Reach { agent, id, nth, node, life });
+        if !connected {
+            if let Some(z) = &mut self.agents[agent].zones {
+                z.opened(now, &Opening { to: n.zone, build: n.build, out: 60, back: 60, took: Some(first) });
+            }
+        }
+        self.at(now + time_out, What::TimeOut { agent, id, nth });
+        if let Some(at) = look {
+            self.at(at, What::Look { agent, id, at });
+        }
+    }
+
+    fn on_trial(&self, build: u32) -> bool {
+        let on = |n: &News| build > n.build || build == n.build && n.phase != Phase::Released;
+        self.news.as_ref().is_some_and(on)
+    }
+
+    /// Rules 3, 4 (what comes to a cold one is checked as it comes) and 5.
+    fn check_send(&mut self, agent: usize, id: u64, node: usize, n: &Node) {
+        let (now, trial) = (self.now, self.on_trial(n.build));
+        let free = self.day.deployment.rollout.free;
+        let a = &mut self.agents[agent];
+        if a.told.get(&node).is_some_and(|t| now > *t + DRAIN_GRACE) {
+            let what = format!("rule 3: command {id} went to appliance {node}, {:?}", n.standing);
+            self.played.broken.push(what);
+        }
+        if trial {
+            a.exposed += 1.0;
+            if a.exposed > free + 1e-6 {
+                self.played
+                    .broken
+                    .push(format!("rule 5: agent {agent} exposes {:.2} above {free}", a.exposed));
+            }
+        }
+        if let Some(h) = a.held.get(&id) {
+            if h.answered {
+                self.played.broken.push(format!("rule 1: command {id} went out after its answer"));
+            }
+        }
+    }
+
+    fn capacity(&self, node: usize) -> f64 {
+        let (n, d) = (&self.day.nodes[node], &self.day.deployment);
+        let ramp = match n.started {
+            Some(started) => {
+                let age = self.now.saturating_sub(started).as_secs_f64() / d.cold_for.as_secs_f64().max(1e-3);
+                d.cold_share + (1.0 - d.cold_share) * age.min(1.0)
+            }
+            None => 1.0,
+        };
+        n.cores as f64 * ramp / n.slowness
+    }
+
+    fn reach(&mut self, agent: usize, id: u64, nth: usize, node: usize, life: u64) {
+        let (now, n) = (self.now, self.day.nodes[node].clone());
+        let lane = self.agents[agent].held.get(&id).map(|h| h.lane);
+        let Some(lane) = lane else { return };
+        if n.mute {
+            return;
+        }
+        let refuse = |how| What::Back { agent, id, nth, how };
+        let back = now + self.day.ways[n.zone][self.agents[agent].zone];
+        if n.standing == Standing::Gone || self.running[node].life != life {
+            return self.at(back, refuse(How::Refused));
+        }
+        self.check_cold(node, lane);
+        let capacity = n.cores;
+        if self.running[node].busy.len() >= capacity && self.running[node].waits.len() >= n.queue {
+            return self.at(back, refuse(How::TurnedAway));
+        }
+        self.check_run(agent, id, lane, node);
+        self.running[node].waits.push_back(Job { agent, id, nth });
+        self.take_up(node);
+    }
+
+    /// Rule 4: what came to a cold appliance in the window against what it can do now.
+    fn check_cold(&mut self, node: usize, lane: usize) {
+        let (now, fall_for) = (self.now, self.day.deployment.fall_for);
+        let cold = |s: Duration| now < s + self.day.deployment.cold_for;
+        if !self.day.nodes[node].started.is_some_and(cold) {
+            return;
+        }
+        let capacity = self.capacity(node);
+        let work = self.day.work[lane].as_secs_f64();
+        let came = &mut self.running[node].work;
+        came.push_back((now, work));
+        while came.front().is_some_and(|w| w.0 + fall_for < now) {
+            came.pop_front();
+        }
+        let sum: f64 = came.iter().map(|w| w.1).sum();
+        let slack = 3.0 * (work * sum).sqrt() + 3.0 * work;
+        if sum > FALL_MULTIPLE * capacity * fall_for.as_secs_f64() + slack {
+            self.played.broken.push(format!("rule 4: cold appliance {node} got {sum:.2} core-seconds"));
+        }
+    }
+
+    /// Rule 2, where it runs.
+    fn check_run(&mut self, agent: usize, id: u64, lane: usize, node: usize) {
+        let repeats = self.day.deployment.lanes[lane].repeats;
+        if repeats == Repeats::Idempotent {
+            return;
+        }
+        let (now, zone) = (self.now, self.day.nodes[node].zone);
+        let ran = self.ran.entry((agent, id)).or_default();
+        for (other, at) in ran.iter() {
+            let apart = match repeats {
+                Repeats::Deduplicated { group, window } => {
+                    let far = group != Group::All && self.day.nodes[*other].zone != zone;
+                    far || now > *at + window + SLACK
+                }
+                _ => true,
+            };
+            if apart {
+                self.played.broken.push(format!("rule 2: command {id} of lane {lane} ran twice"));
+            }
+        }
+        ran.push((node, now));
+    }
+
+    fn take_up(&mut self, node: usize) {
+        while self.running[node].busy.len() < self.day.nodes[node].cores {
+            let Some(job) = self.running[node].waits.pop_front() else { return };
+            let lane = self.agents[job.agent].held.get(&job.id).map(|h| h.lane);
+            // It was withdrawn meanwhile.
+            let Some(lane) = lane else { continue };
+            let speed = self.capacity(node) / self.day.nodes[node].cores as f64;
+            let mean = self.day.work[lane].as_secs_f64();
+            let took = Duration::from_secs_f64(mean * (0.4 - 0.6 * (1.0 - self.chance()).ln()) / speed);
+            let (slot, life) = (self.running[node].slots, self.running[node].life);
+            self.running[node].slots += 1;
+            self.running[node].busy.insert(slot, job);
+            self.at(self.now + took, What::Done { node, life, slot });
+        }
+    }
+
+    fn done(&mut self, node: usize, life: u64, slot: u64) {
+        if self.running[node].life != life {
+            return;
+        }
+        let Some(Job { agent, id, nth }) = self.running[node].busy.remove(&slot) else { return };
+        let fails = self.day.nodes[node].fails;
+        let how = if self.chance() < fails { How::Failed } else { How::Satisfied };
+        let way = self.day.ways[self.day.nodes[node].zone][self.agents[agent].zone];
+        if !self.day.nodes[node].mute {
+            self.at(self.now + way, What::Back { agent, id, nth, how });
+        }
+        self.take_up(node);
+    }
+
+    fn back(&mut self, agent: usize, id: u64, nth: usize, how: How) {
+        let out = |h: &Held| h.out.get(nth).is_some_and(|o| !o.ended);
+        if !self.agents[agent].held.get(&id).is_some_and(out) {
+            return;
+        }
+        let outcome = match how {
+            How::Satisfied => Outcome::Satisfied,
+            How::Failed => Outcome::Failed,
+            How::TurnedAway => Outcome::TurnedAway,
+            How::Refused => Outcome::NoConnection,
+        };
+        self.end(agent, id, nth, outcome);
+    }
+
+    fn end(&mut self, agent: usize, id: u64, nth: usize, outcome: Outcome) {
+        let now = self.now;
+        let a = &mut self.agents[agent];
+        let Some(h) = a.held.get_mut(&id) else { return };
+        let o = &mut h.out[nth];
+        o.ended = true;
+        let took = now.saturating_sub(o.sent);
+        let written = outcome != Outcome::NoConnection && outcome != Outcome::NotSent;
+        let back = if matches!(outcome, Outcome::Satisfied | Outcome::Failed) { BYTES.1 } else { 0 };
+        if !matches!(outcome, Outcome::Satisfied | Outcome::Failed | Outcome::TurnedAway) {
+            // Its connection is closed.
+            a.warm[o.node] = false;
+        }
+        debug_assert!(o.zone <= self.day.ways.len() && (o.connected || nth < h.out.len()));
+        let ticket = h.out[nth].ticket.take();
+        if let (Some(z), Some(ticket)) = (&mut a.zones, ticket) {
+            let out = if written { BYTES.0 } else { 0 };
+            z.ended(now, &ticket, &Ended { outcome, flaw: Flaw::None, written, out, back, took });
+        }
+        let first = outcome == Outcome::Satisfied && !h.answered;
+        let (taken, lane) = (h.taken, h.lane);
+        let closed = h.answered || first;
+        let answer = a.choice.after(now, id, nth, End { outcome, took, closed });
+        if first {
+            let took = now.saturating_sub(taken);
+            self.played.satisfied += 1;
+            self.played.in_time += u64::from(took <= self.day.deployment.lanes[lane].quoted);
+            let micros = took.as_micros().max(1) as u64;
+            self.played.times.saturating_record(micros);
+            let second = ((taken - ZERO).as_secs() as usize).min(self.played.second_times.len() - 1);
+            self.played.second_times[second].saturating_record(micros);
+            self.answered(agent, id);
+        }
+        self.obey(agent, id, answer);
+        self.forget(agent, id);
+    }
+
+    /// The cap that binds each agent; a lower one is counted anew.
+    fn caps(&mut self) {
+        let cap = self.news.as_ref().map_or(0.0, |n| if n.phase == Phase::Released { 1.0 } else { n.cap });
+        for a in &mut self.agents {
+            if !a.exposing || cap < a.cap {
+                a.exposed = 0.0;
+            }
+            (a.cap, a.exposing) = (cap, true);
+        }
+    }
+
+    fn change(&mut self, change: Change) {
+        let now = self.now;
+        match change {
+            Change::Lists(node, standing) => {
+                self.day.nodes[node].standing = standing;
+                if standing == Standing::Gone {
+                    self.fall(node);
+                }
+                self.list(node);
+            }
+            Change::Starts(node) => {
+                self.fall(node);
+                let n = &mut self.day.nodes[node];
+                (n.standing, n.started, n.mute) = (Standing::Running, Some(now), false);
+                self.list(node);
+            }
+            Change::Moves(node, zone) => {
+                self.fall(node);
+                self.day.nodes[node].zone = zone;
+                self.list(node);
+            }
+            Change::Slows(node, slowness) => self.day.nodes[node].slowness = slowness,
+            Change::Fails(node, fails) => self.day.nodes[node].fails = fails,
+            Change::Mutes(node, mute) => self.day.nodes[node].mute = mute,
+            Change::News(news) => {
+                let news = News { began: now, ..news };
+                self.news = Some(news.clone());
+                self.caps();
+                for a in &mut self.agents {
+                    a.choice.news(news.clone());
+                }
+            }
+            Change::Rate(rate) => self.day.rate = rate,
+            Change::Stalls(agent, span) => self.agents[agent].stalled = now + span,
+            Change::Zoning(agent, zoning) => {
+                let a = &mut self.agents[agent];
+                if let Some(z) = &mut a.zones {
+                    // Zones and lanes are those of before, which is all that is refused.
+                    let _ = z.renew(now, zoning);
+                    if let Some(told) = z.crossings() {
+                        a.choice.crossings(told);
+                    }
+                }
+            }
+            Change::Link(from, to, way) => self.day.ways[from][to] = way,
+        }
+    }
+
+    /// What it had in hand is gone, its connections broken.
+    fn fall(&mut self, node: usize) {
+        let running = &mut self.running[node];
+        running.life += 1;
+        let busy = std::mem::take(&mut running.busy).into_values();
+        let jobs: Vec<Job> = busy.chain(std::mem::take(&mut running.waits)).collect();
+        for Job { agent, id, nth } in jobs {
+            let out = |h: &Held| h.out.get(nth).is_some_and(|o| !o.ended);
+            if self.agents[agent].held.get(&id).is_some_and(out) {
+                self.end(agent, id, nth, Outcome::Broken);
+            }
+        }
+        self.agents.iter_mut().for_each(|a| a.warm[node] = false);
+    }
+
+    fn list(&mut self, node: usize) {
+        let (now, entry) = (self.now, listed(&self.day.nodes, node));
+        for a in &mut self.agents {
+            a.choice.list(now, std::slice::from_ref(&entry), false);
+            match entry.standing {
+                Standing::Running => drop(a.told.remove(&node)),
+                _ => drop(a.told.entry(node).or_insert(now)),
+            }
+        }
+    }
+}
+
+fn listed(nodes: &[Node], appliance: usize) -> Listed {
+    let n = &nodes[appliance];
+    Listed {
+        appliance,
+        zone: n.zone,
+        cell: appliance as u64 % 3,
+        build: n.build,
+        standing: n.standing,
+        started: n.started,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/discovery.rs
@@ -0,0 +1,216 @@
+//! Discovery: the list over HTTP, whole or as a watch, told to each zone with the addresses that are its own.
+
+use crate::ground::{self, sleep, Ends};
+use async_executor::Task;
+use async_io::Async;
+use event_listener::Event;
+use futures_lite::future::FutureExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// One appliance of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub id: String,
+    /// By zone of who asks.
+    pub addresses: Vec<SocketAddr>,
+    pub zone: String,
+    pub cell: u64,
+    /// `in_service`, `terminating` or `terminated`.
+    pub state: String,
+    /// Unix time in milliseconds; 0 for long ago.
+    pub started_ms: u64,
+    pub build: u32,
+}
+
+/// What is wrong with it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum Manner {
+    #[default]
+    Tells,
+    /// Refuses to answer: each connection is closed.
+    Down,
+    /// Takes what is asked and says nothing.
+    Silent,
+    /// Answers with this.
+    Says(String),
+}
+
+#[derive(Default)]
+struct State {
+    manner: Manner,
+    version: u64,
+    entries: BTreeMap<String, (u64, Entry)>, // with the version of its last change
+    asked: usize,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Event,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+pub struct Discovery {
+    shared: Arc<Shared>,
+    ends: Arc<Ends>,
+    addresses: Vec<SocketAddr>,
+    _listening: Vec<Task<()>>,
+}
+
+impl Discovery {
+    /// Listens for those who ask from each of `zones` zones.
+    pub fn start(zones: usize) -> io::Result<Discovery> {
+        let (shared, ends) = (Arc::<Shared>::default(), Arc::<Ends>::default());
+        shared.state().version = 1;
+        let (mut addresses, mut listening) = (Vec::new(), Vec::new());
+        for from in 0..zones {
+            let s = shared.clone();
+            let serve = move |stream| {
+                let shared = s.clone();
+                async move {
+                    let _ = talk(&shared, from, stream).await;
+                }
+            };
+            let (address, task) = ground::listen(&ends, serve)?;
+            addresses.push(address);
+            listening.push(task);
+        }
+        Ok(Discovery { shared, ends, addresses, _listening: listening })
+    }
+
+    pub fn address(&self, from: usize) -> SocketAddr {
+        self.addresses[from]
+    }
+
+    /// Changes or adds entries; who watches is told at once. One version for all of them.
+    pub fn tell(&self, entries: impl IntoIterator<Item = Entry>) {
+        let mut state = self.shared.state();
+        state.version += 1;
+        let version = state.version;
+        for e in entries {
+            state.entries.insert(e.id.clone(), (version, e));
+        }
+        drop(state);
+        self.shared.changed.notify(usize::MAX);
+    }
+
+    /// Changes one entry, if it is listed.
+    pub fn change(&self, id: &str, change: impl FnOnce(&mut Entry)) {
+        let found = self.shared.state().entries.get(id).map(|(_, e)| e.clone());
+        if let Some(mut e) = found {
+            change(&mut e);
+            self.tell([e]);
+        }
+    }
+
+    pub fn entries(&self) -> Vec<Entry> {
+        self.shared.state().entries.values().map(|(_, e)| e.clone()).collect()
+    }
+
+    /// Behaves like this from now on; connections that are open end.
+    pub fn manner(&self, manner: Manner) {
+        self.shared.state().manner = manner;
+        self.ends.end();
+        self.shared.changed.notify(usize::MAX);
+    }
+
+    /// How often anything was asked.
+    pub fn asked(&self) -> usize {
+        self.shared.state().asked
+    }
+
+    /// The list as a configuration's `known`.
+    pub fn known(&self, from: usize) -> Value {
+        whole(&self.shared.state(), from)
+    }
+}
+
+fn entry(e: &Entry, from: usize) -> Value {
+    json!({"id": e.id, "addr": e.addresses[from].to_string(), "zone": e.zone, "kind": "m", "cell": e.cell,
+        "state": e.state, "weight": 1.0, "started_ms": e.started_ms, "release": e.build})
+}
+
+/// What is gone is in no whole list.
+fn whole(state: &State, from: usize) -> Value {
+    let there = state.entries.values().filter(|(_, e)| e.state != "terminated");
+    let servers: Vec<Value> = there.map(|(_, e)| entry(e, from)).collect();
+    json!({"version": state.version, "full": true, "servers": servers})
+}
+
+async fn talk(shared: &Shared, from: usize, mut stream: Async<TcpStream>) -> io::Result<()> {
+    loop {
+        let Some(path) = question(&mut stream).await? else { return Ok(()) };
+        let manner = {
+            let mut state = shared.state();
+            state.asked += 1;
+            state.manner.clone()
+        };
+        let body = match manner {
+            Manner::Down => return Ok(()),
+            Manner::Silent => futures_lite::future::pending().await,
+            Manner::Says(text) => {
+                stream.write_all(text.as_bytes()).await?;
+                continue;
+            }
+            Manner::Tells => told(shared, from, &path).await,
+        };
+        let body = body.to_string();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(format!("{head}{body}").as_bytes()).await?;
+    }
+}
+
+async fn question(stream: &mut Async<TcpStream>) -> io::Result<Option<String>> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0; 1];
+        if stream.read(&mut byte).await? == 0 || head.len() > 8192 {
+            return Ok(None);
+        }
+        head.push(byte[0]);
+    }
+    let line = String::from_utf8_lossy(&head);
+    Ok(line.split(' ').nth(1).map(str::to_owned))
+}
+
+/// The whole list, or what is newer than the version that is named, for which it waits.
+async fn told(shared: &Shared, from: usize, path: &str) -> Value {
+    let query = path.split_once('?').map_or("", |(_, q)| q);
+    let named = |name: &str| {
+        query
+            .split('&')
+            .filter_map(|p| p.split_once('='))
+            .find(|p| p.0 == name)
+            .and_then(|p| p.1.parse().ok())
+    };
+    let Some(after): Option<u64> = named("after") else { return whole(&shared.state(), from) };
+    let wait = Duration::from_millis(named("wait_ms").unwrap_or(0));
+    let newer = async {
+        loop {
+            let listener = shared.changed.listen();
+            if shared.state().version > after {
+                return;
+            }
+            listener.await;
+        }
+    };
+    newer.or(sleep(wait)).await;
+    let state = shared.state();
+    let changed: Vec<Value> =
+        state.entries.values().filter(|(v, _)| *v > after).map(|(_, e)| entry(e, from)).collect();
+    json!({"version": state.version, "full": false, "servers": changed})
+}
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,178 @@
+//! Many clients at a rate of their own: each command is due at its time, whatever became of those before.
+
+use crate::ground::{self, sleep};
+use crate::pg;
+use async_io::Async;
+use futures_lite::future::FutureExt;
+use futures_lite::AsyncWriteExt;
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub agent: SocketAddr,
+    /// Commands a second, in the mean; they come as by chance.
+    pub rate: f64,
+    pub span: Duration,
+    /// Lanes with their weights, the time that clients wait, and whether they carry a key.
+    pub lanes: Vec<(String, f64, Duration, bool)>,
+    /// Connections at most; a command that finds none free waits for one, and that time counts.
+    pub connections: usize,
+    pub seed: u64,
+}
+
+/// What came of it. Times count from when a command was due.
+#[derive(Clone, Debug, Default)]
+pub struct Answered {
+    pub asked: u64,
+    pub satisfied: u64,
+    pub denied: u64,
+    pub failed: u64,
+    /// No whole answer before its expiry and half a second, or its connection ended.
+    pub unanswered: u64,
+    /// Ids of those without an answer, the first hundred.
+    pub lost: Vec<String>,
+    /// Microseconds to each satisfied answer, by lane.
+    pub times: BTreeMap<String, Histogram<u64>>,
+}
+
+impl Answered {
+    /// The time, in milliseconds, within which this part (0 to 1) of the satisfied answers came.
+    pub fn quantile_ms(&self, part: f64) -> f64 {
+        let mut all = Histogram::<u64>::new(3).unwrap_or_else(|_| Histogram::new_from(&empty()));
+        self.times.values().for_each(|h| all.add(h).unwrap_or(()));
+        all.value_at_quantile(part) as f64 / 1000.0
+    }
+
+    pub fn answered(&self) -> u64 {
+        self.satisfied + self.denied + self.failed
+    }
+}
+
+fn empty() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).unwrap_or_else(|_| unreachable!("bounds that are taken"))
+}
+
+/// A command that is due.
+struct Due {
+    at: Instant,
+    id: String,
+    lane: String,
+    wait: Duration,
+    text: String,
+}
+
+/// Idle connections of one load.
+type Idle = Arc<Mutex<Vec<Async<TcpStream>>>>;
+
+impl Load {
+    /// Begins; the result is there once the last command has had its answer or its time.
+    pub fn begin(self) -> async_executor::Task<Answered> {
+        ground::spawn(async move { self.run().await })
+    }
+
+    /// The same, and waits for it.
+    pub fn play(self) -> Answered {
+        futures_lite::future::block_on(self.begin())
+    }
+
+    async fn run(self) -> Answered {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
+        let (idle, result) = (Idle::default(), Arc::new(Mutex::new(Answered::default())));
+        let places = Arc::new(async_lock::Semaphore::new(self.connections.max(1)));
+        let (begun, mut at, mut tasks, mut n) = (Instant::now(), 0.0f64, Vec::new(), 0u64);
+        let weights: f64 = self.lanes.iter().map(|l| l.1).sum();
+        loop {
+            at += -(1.0f64 - rng.gen_range(0.0..1.0)).ln() / self.rate.max(1e-6);
+            if at >= self.span.as_secs_f64() {
+                break;
+            }
+            let due = begun + Duration::from_secs_f64(at);
+            sleep(due.saturating_duration_since(Instant::now())).await;
+            let mut drawn = rng.gen_range(0.0..weights.max(1e-9));
+            let lane = self.lanes.iter().find(|l| {
+                drawn -= l.1;
+                drawn < 0.0
+            });
+            let Some((lane, _, wait, keyed)) = lane.or(self.lanes.last()) else { break };
+            n += 1;
+            let (id, object) = (format!("{:x}-{n}", self.seed), rng.gen_range(0..10_000));
+            let key = if *keyed { format!(",k={:x}{n:x}", self.seed) } else { String::new() };
+            let ms = wait.as_millis();
+            let text = format!(
+                "SELECT body FROM objects WHERE oid = 'o{object}' /* id={id},c={lane},d={ms}{key} */"
+            );
+            let due = Due { at: due, id, lane: lane.clone(), wait: *wait, text };
+            let (agent, idle, places, result) = (self.agent, idle.clone(), places.clone(), result.clone());
+            tasks.push(ground::spawn(async move {
+                let place = places.acquire().await;
+                let late = async {
+                    let end = due.at + due.wait + Duration::from_millis(500);
+                    sleep(end.saturating_duration_since(Instant::now())).await;
+                    Err(io::ErrorKind::TimedOut.into())
+                };
+                let told = call(agent, &idle, &due).or(late).await;
+                drop(place);
+                note(&result, &due, told);
+            }));
+        }
+        for task in tasks {
+            task.await;
+        }
+        let answered = result.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone();
+        answered
+    }
+}
+
+fn note(result: &Mutex<Answered>, due: &Due, told: io::Result<Option<String>>) {
+    let mut r = result.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    r.asked += 1;
+    match told {
+        Ok(None) => {
+            r.satisfied += 1;
+            let took = due.at.elapsed().as_micros() as u64;
+            r.times.entry(due.lane.clone()).or_insert_with(empty).saturating_record(took.max(1));
+        }
+        Ok(Some(code)) if code == "53300" || code == "57P03" => r.denied += 1,
+        Ok(Some(_)) => r.failed += 1,
+        Err(_) => {
+            r.unanswered += 1;
+            if r.lost.len() < 100 {
+                r.lost.push(due.id.clone());
+            }
+        }
+    }
+}
+
+/// One command; the code of an error, nothing for a value.
+async fn call(agent: SocketAddr, idle: &Idle, due: &Due) -> io::Result<Option<String>> {
+    let waiting = idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).pop();
+    let mut stream = match waiting {
+        Some(stream) => stream,
+        None => {
+            let mut stream = Async::<TcpStream>::connect(agent).await?;
+            stream.get_ref().set_nodelay(true)?;
+            stream.write_all(&pg::startup()).await?;
+            while pg::read(&mut stream).await?.0 != b'Z' {}
+            stream
+        }
+    };
+    stream.write_all(&pg::query(&due.text)).await?;
+    let mut code = None;
+    loop {
+        match pg::read(&mut stream).await? {
+            (b'Z', _) => break,
+            (b'E', body) => code = Some(pg::field(&body, b'C').unwrap_or_default()),
+            _ => {}
+        }
+    }
+    idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(stream);
+    Ok(code)
+}
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,242 @@
+//! The platform: tells of the newest build, takes votes, and carries a build through its stages by the clock.
+
+use crate::ground::{self, sleep, Ends};
+use async_executor::Task;
+use async_io::Async;
+use event_listener::Event;
+use futures_lite::future::FutureExt;
+use futures_lite::io::BufReader;
+use futures_lite::{AsyncBufReadExt, AsyncWriteExt};
+use serde_json::{json, Value};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// What it says of the newest build.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    pub build: u32,
+    pub stage: usize,
+    /// `trial`, `rolling_back`, `released` or `withdrawn`.
+    pub phase: String,
+    pub cap: f64,
+    pub since: Instant,
+}
+
+impl News {
+    pub fn now(build: u32, stage: usize, phase: &str, cap: f64) -> News {
+        News { build, stage, phase: phase.to_owned(), cap, since: Instant::now() }
+    }
+
+    /// In the form of a configuration's `deployer.news`.
+    pub fn value(&self) -> Value {
+        json!({"image": self.build, "ring": self.stage, "progress": self.phase, "ceiling": self.cap,
+            "lag_ms": self.since.elapsed().as_millis() as u64})
+    }
+}
+
+/// How a build is offered: the cap of each stage, and how long each lasts.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    pub build: u32,
+    pub caps: Vec<f64>,
+    pub step: Duration,
+}
+
+struct State {
+    news: News,
+    notes: Vec<Value>, // notifications, in their order
+    votes: Vec<(Instant, Value)>,
+    held: Option<Instant>, // the last vote to hold
+    silent: bool,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    changed: Event,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn tell(&self, method: &str, params: Value) {
+        self.state().notes.push(json!({"jsonrpc": "2.0", "method": method, "params": params}));
+        self.changed.notify(usize::MAX);
+    }
+
+    fn news(&self, news: News) {
+        let value = news.value();
+        self.state().news = news;
+        self.tell("ROLLOUT", value);
+    }
+}
+
+pub struct Platform {
+    shared: Arc<Shared>,
+    ends: Arc<Ends>,
+    pub address: SocketAddr,
+    _tasks: Vec<Task<()>>,
+}
+
+/// How long a vote to hold lasts.
+const VOTE_LIFE: Duration = Duration::from_secs(10);
+
+impl Platform {
+    pub fn start(news: News) -> io::Result<Platform> {
+        let state = State { news, notes: Vec::new(), votes: Vec::new(), held: None, silent: false };
+        let shared = Arc::new(Shared { state: Mutex::new(state), changed: Event::new() });
+        let ends = Arc::<Ends>::default();
+        let s = shared.clone();
+        let serve = move |stream| {
+            let shared = s.clone();
+            async move {
+                let _ = talk(&shared, stream).await;
+            }
+        };
+        let (address, listening) = ground::listen(&ends, serve)?;
+        let s = shared.clone();
+        let pings = ground::spawn(async move {
+            loop {
+                sleep(Duration::from_secs(1)).await;
+                if !s.state().silent {
+                    s.tell("ping", json!({}));
+                }
+            }
+        });
+        Ok(Platform { shared, ends, address, _tasks: vec![listening, pings] })
+    }
+
+    pub fn news(&self, news: News) {
+        self.shared.news(news);
+    }
+
+    pub fn newest(&self) -> News {
+        self.shared.state().news.clone()
+    }
+
+    /// A client found an answer of this appliance wrong.
+    pub fn flag(&self, appliance: &str, lane: &str, age: Duration) {
+        let lag = age.as_millis() as u64;
+        self.shared.tell("DISPUTE", json!({"host": appliance, "type": lane, "lag_ms": lag}));
+    }
+
+    /// Says nothing more unasked, or does so again.
+    pub fn silent(&self, silent: bool) {
+        self.shared.state().silent = silent;
+    }
+
+    /// Ends all connections.
+    pub fn cut(&self) {
+        self.ends.end();
+    }
+
+    /// The votes that came: when, and their parameters.
+    pub fn votes(&self) -> Vec<(Instant, Value)> {
+        self.shared.state().votes.clone()
+    }
+
+    /// Takes a build through its stages by the clock, which stands still while a vote to hold lasts. A vote to
+    /// send back ends it. `staged` is called at each stage's beginning, with what part of the places it takes.
+    pub fn offer(&self, offer: Offer, staged: impl Fn(usize, f64) + Send + 'static) -> Task<()> {
+        let shared = self.shared.clone();
+        ground::spawn(async move {
+            for (stage, cap) in offer.caps.iter().enumerate() {
+                staged(stage, *cap);
+                shared.news(News::now(offer.build, stage, "trial", *cap));
+                let mut ran = Duration::ZERO;
+                while ran < offer.step {
+                    let step = Duration::from_millis(50);
+                    sleep(step).await;
+                    let (held, back) = {
+                        let state = shared.state();
+                        let held = state.held.is_some_and(|at| at.elapsed() < VOTE_LIFE);
+                        (held, state.news.phase == "rolling_back")
+                    };
+                    if back {
+                        return;
+                    }
+                    ran += if held { Duration::ZERO } else { step };
+                }
+            }
+            shared.news(News::now(offer.build, offer.caps.len().saturating_sub(1), "released", 1.0));
+        })
+    }
+}
+
+async fn talk(shared: &Shared, stream: Async<TcpStream>) -> io::Result<()> {
+    let stream = Arc::new(stream);
+    let mut lines = BufReader::new(&*stream);
+    let mut seen: Option<usize> = None; // notifications told here, once they were asked for
+    loop {
+        let mut line = String::new();
+        let asked = async { lines.read_line(&mut line).await.map(Some) };
+        let noted = async {
+            loop {
+                let listener = shared.changed.listen();
+                if seen.is_some_and(|n| n < shared.state().notes.len()) {
+                    return Ok(None);
+                }
+                listener.await;
+            }
+        };
+        match asked.or(noted).await? {
+            Some(0) => return Ok(()),
+            Some(_) => {
+                let call: Value = serde_json::from_str(&line).map_err(|_| io::ErrorKind::InvalidData)?;
+                let (answer, watches) = heed(shared, &call);
+                (&*stream).write_all(format!("{answer}\n").as_bytes()).await?;
+                if watches {
+                    let (news, count) = {
+                        let state = shared.state();
+                        (state.news.value(), state.notes.len())
+                    };
+                    seen = Some(count);
+                    let told = json!({"jsonrpc": "2.0", "method": "ROLLOUT", "params": news});
+                    (&*stream).write_all(format!("{told}\n").as_bytes()).await?;
+                }
+            }
+            None => {
+                let from = seen.unwrap_or_default();
+                let notes: Vec<Value> = shared.state().notes[from..].to_vec();
+                seen = Some(from + notes.len());
+                for note in notes {
+                    (&*stream).write_all(format!("{note}\n").as_bytes()).await?;
+                }
+            }
+        }
+    }
+}
+
+/// The answer to a call, and whether it asks to be told.
+fn heed(shared: &Shared, call: &Value) -> (Value, bool) {
+    let id = call["id"].clone();
+    let fault =
+        |message: &str| json!({"jsonrpc": "2.0", "id": id, "error": {"code": -32602, "message": message}});
+    match call["method"].as_str() {
+        Some("Events.Watch") => (json!({"jsonrpc": "2.0", "id": id, "result": true}), true),
+        Some("Rollout.Judge") => {
+            let params = call["params"].clone();
+            let mut state = shared.state();
+            state.votes.push((Instant::now(), params.clone()));
+            let news = state.news.clone();
+            let stands = params["image"] == json!(news.build) && params["ring"] == json!(news.stage);
+            if !stands {
+                return (fault("ConditionFailed"), false);
+            }
+            match params["opinion"].as_str() {
+                Some("pause") => state.held = Some(Instant::now()),
+                Some("abstain" | "promote") => state.held = None,
+                Some("abort") => {
+                    drop(state);
+                    shared.news(News::now(news.build, news.stage, "rolling_back", 0.0));
+                }
+                _ => return (fault("ValidationError"), false),
+            }
+            (json!({"jsonrpc": "2.0", "id": id, "result": shared.state().news.value()}), false)
+        }
+        _ => (fault("ValidationError"), false),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/program.rs
@@ -0,0 +1,142 @@
+//! An agent as a process, with a configuration of the form that the platform gives.
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::ffi::OsString;
+use std::fs::File;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use tempfile::TempDir;
+
+/// A lane of the settings.
+#[derive(Clone, Debug)]
+pub struct Lane {
+    pub name: String,
+    /// `repeatable`, `by_key` or `once`, with the group of `by_key`: `all`, `zone` or `cell`.
+    pub repeats: &'static str,
+    pub group: &'static str,
+    pub quoted_ms: f64,
+    pub points: f64,
+}
+
+impl Lane {
+    pub fn new(name: &str, repeats: &'static str, points: f64) -> Lane {
+        Lane { name: name.to_owned(), repeats, group: "all", quoted_ms: 400.0, points }
+    }
+}
+
+/// The settings of a deployment, as an agent in `zone` gets them.
+pub fn settings(zones: &[&str], zone: &str, agents: u32, lanes: &[Lane]) -> Value {
+    let class = |l: &Lane| {
+        json!({"name": l.name, "aim-ms": l.quoted_ms, "give-up-ms": 1500.0, "idempotency": l.repeats,
+            "dedup-scope": l.group, "window-ms": 5000.0, "points": l.points})
+    };
+    let classes: Vec<Value> = lanes.iter().map(class).collect();
+    json!({"zones": zones, "zone": zone, "classes": classes,
+        "tenants": [], "discovery": "push", "granularity-ms": 1.0, "instances": agents,
+        "limits": {"cancel": true, "second-copies": true, "try-limit": 5, "dial-timeout-ms": 250.0,
+            "conn-idle-ms": 30000.0, "retry-after": true, "max-retry-after-ms": 2000.0},
+        "rules": {"cold-share": 0.3, "cold-ms": 3000.0, "fall-ms": 1000.0}, "prices": {},
+        "domain": {"most-shares": [0.2, 1.0], "cap-scope": "all", "decided-by": "timer", "swap": "beside",
+            "spare-tries": 2.0, "vote-ttl-ms": 10000.0, "vote-wait-ms": 800.0}})
+}
+
+/// The configuration of one agent, that listens on a free loopback port.
+pub fn configuration(
+    name: &str,
+    discovery: SocketAddr,
+    platform: SocketAddr,
+    news: Value,
+    known: Value,
+    settings: Value,
+) -> io::Result<Value> {
+    let free = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    Ok(json!({"name": name, "listen": free.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
+        "limits": {"sockets": 1024}, "known": known, "settings": settings,
+        "deployer": {"address": platform.to_string(), "news": news}}))
+}
+
+/// A process that is killed when this is dropped; its files go with it.
+pub struct Program {
+    child: Child,
+    pub configuration: Value,
+    folder: TempDir,
+}
+
+impl Program {
+    /// Starts an agent with this configuration and further arguments, its log in [`Program::log`].
+    pub fn start(
+        binary: impl Into<OsString>,
+        configuration: Value,
+        arguments: &[&str],
+    ) -> io::Result<Program> {
+        let folder = tempfile::tempdir()?;
+        let path = folder.path().join("config.json");
+        std::fs::write(&path, configuration.to_string())?;
+        let log = File::create(folder.path().join("log"))?;
+        let child = Command::new(binary.into())
+            .args(arguments)
+            .env("PROXY_CONFIG", &path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        Ok(Program { child, configuration, folder })
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        let text = self.configuration["listen"].as_str().unwrap_or_default();
+        text.parse().map_err(io::Error::other)
+    }
+
+    /// A folder of its own.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder().join("log")).unwrap_or_default()
+    }
+
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or(io::ErrorKind::InvalidInput)?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    pub fn terminate(&self) -> io::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Replaces the configuration's text and says so.
+    pub fn renew(&self, text: &str) -> io::Result<()> {
+        std::fs::write(self.folder().join("config.json"), text)?;
+        self.signal(Signal::HUP)
+    }
+
+    /// Its process number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Stops it where it stands, or lets it go on: an agent that stalls.
+    pub fn stall(&self, stalls: bool) -> io::Result<()> {
+        self.signal(if stalls { Signal::STOP } else { Signal::CONT })
+    }
+
+    /// Waits for its end; whether it ended well.
+    pub fn ended_well(&mut self) -> io::Result<bool> {
+        Ok(self.child.wait()?.success())
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/speaker.rs
@@ -0,0 +1,40 @@
+//! Takes connections, hears what is asked first, and says what it is given: for what no stand-in would say.
+
+use crate::ground::{self, Ends};
+use async_executor::Task;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+
+pub struct Speaker {
+    pub address: SocketAddr,
+    /// What was asked first on each connection.
+    pub asked: Receiver<String>,
+    _task: Task<()>,
+}
+
+impl Speaker {
+    /// Says `what` on each connection once anything was asked there, and nothing more; it stays open.
+    pub fn start(what: &str) -> io::Result<Speaker> {
+        let (tell, asked) = channel();
+        let what = what.to_owned();
+        let (address, task) = ground::listen(&Arc::<Ends>::default(), move |mut stream| {
+            let (what, tell) = (what.clone(), tell.clone());
+            async move {
+                let mut first = [0; 1024];
+                let got = stream.read(&mut first).await.unwrap_or_default();
+                let _ = tell.send(String::from_utf8_lossy(&first[..got]).into());
+                let _ = stream.write_all(what.as_bytes()).await;
+                futures_lite::future::pending::<()>().await;
+            }
+        })?;
+        Ok(Speaker { address, asked, _task: task })
+    }
+
+    /// An HTTP answer with this body.
+    pub fn http(body: &str) -> String {
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    }
+}
--- /dev/null
+++ b/crates/zones/src/budget.rs
@@ -0,0 +1,372 @@
+//! Budgets for what crosses, and what one agent may spend alone.
+//!
+//! Agents share nothing, so each keeps to a part of its own: of an absolute limit a fixed one (by default one
+//! over the number of agents), of a share the same share of what it took itself. Either way the sum over all
+//! agents keeps to the budget however unequal they are. What an idle agent leaves is used by nobody.
+//!
+//! Spending is counted in bins over a sliding window, always over one bin more than the window holds: no window
+//! ever sees more than the limit, and after a stall nothing is due at once that was not spent before.
+
+use crate::route::Reason;
+use crate::zoning::{Budget, LaneView, Limit, Price, Zoning};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Bins to a window.
+const BINS: u32 = 32;
+/// What must stay of a part after a delivery, for the lane of least benefit for its cost; nothing for the lane
+/// of most, and in proportion between.
+const RESERVE: f64 = 0.4;
+/// On top of that for further deliveries and second copies.
+const AGAIN: f64 = 0.5;
+/// What a delivery is taken to need before any was seen, in bytes each way.
+const GUESS: f64 = 1024.0;
+/// How fast the largest of late is forgotten.
+const LARGEST_FADE: f64 = 0.98;
+
+/// What one delivery takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Spending {
+    pub deliveries: f64,
+    pub bytes: f64,
+    pub money: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Spent {
+    bin: u64,
+    spent: f64,
+    taken: f64,
+}
+
+/// One limit of one budget.
+#[derive(Clone, Debug)]
+pub struct Purse {
+    pub budget: Budget,
+    id: u32,
+    bins: VecDeque<Spent>,
+    sum: (f64, f64), // spent and taken in the bins
+    held: f64,       // reserved by deliveries that are out
+    ranks: Vec<f64>, // by lane: 0 for most benefit for its cost, 1 for least
+    over: u64,
+    over_for: [u64; Reason::ALL.len()],
+    total: f64,
+}
+
+impl Purse {
+    fn new(now: Duration, budget: Budget, id: u32) -> Purse {
+        let mut purse = Purse {
+            budget,
+            id,
+            bins: VecDeque::new(),
+            sum: (0.0, 0.0),
+            held: 0.0,
+            ranks: Vec::new(),
+            over: 0,
+            over_for: Default::default(),
+            total: 0.0,
+        };
+        // An agent that starts does not know what it spent before it was restarted: as if its part had been
+        // spent evenly, so that restarts do not give it the window's part again and again.
+        if !matches!(purse.budget.limit, Limit::Share(_)) {
+            let last = purse.bin(now);
+            let each = purse.part() / f64::from(BINS + 1);
+            let bins = last.saturating_sub(u64::from(BINS))..=last;
+            purse.bins = bins.map(|bin| Spent { bin, spent: each, taken: 0.0 }).collect();
+            purse.sum = (each * purse.bins.len() as f64, 0.0);
+        }
+        purse
+    }
+
+    fn bin(&self, now: Duration) -> u64 {
+        let width = (self.budget.window / BINS).as_micros().max(1);
+        (now.as_micros() / width) as u64
+    }
+
+    /// This agent's part of an absolute limit.
+    fn part(&self) -> f64 {
+        self.budget.limit.amount() * self.budget.part
+    }
+
+    /// What this agent may spend in the window that ends now.
+    pub fn limit(&self) -> f64 {
+        match self.budget.limit {
+            Limit::Share(share) => share * self.sum.1,
+            _ => self.part(),
+        }
+    }
+
+    /// What it has spent in that window, with what is reserved by deliveries that are out.
+    pub fn used(&self) -> f64 {
+        self.sum.0 + self.held
+    }
+
+    /// How many deliveries went over this limit.
+    pub fn over(&self) -> u64 {
+        self.over
+    }
+
+    pub fn over_for(&self, reason: Reason) -> u64 {
+        self.over_for[reason as usize]
+    }
+
+    /// What was spent since the start.
+    pub fn total(&self) -> f64 {
+        self.total
+    }
+
+    fn roll(&mut self, now: Duration) -> &mut Spent {
+        let bin = self.bin(now);
+        if self.bins.back().is_none_or(|b| b.bin < bin) {
+            self.bins.push_back(Spent { bin, ..Spent::default() });
+            while self.bins.front().is_some_and(|b| b.bin + u64::from(BINS) < bin) {
+                self.bins.pop_front();
+            }
+            // Summed anew, so that no error adds up.
+            self.sum = self.bins.iter().fold((0.0, 0.0), |s, b| (s.0 + b.spent, s.1 + b.taken));
+        }
+        let last = self.bins.len() - 1;
+        &mut self.bins[last]
+    }
+
+    fn taken(&mut self, now: Duration) {
+        self.roll(now).taken += 1.0;
+        self.sum.1 += 1.0;
+    }
+
+    fn spend(&mut self, now: Duration, amount: f64) {
+        self.roll(now).spent += amount;
+        self.sum.0 += amount;
+        self.total += amount;
+    }
+
+    fn covers(&self, to: usize, lane: usize) -> bool {
+        self.budget.to.is_none_or(|t| t == to) && self.budget.lane.is_none_or(|l| l == lane)
+    }
+
+    fn amount(&self, s: &Spending) -> f64 {
+        match self.budget.limit {
+            Limit::Deliveries(_) | Limit::Share(_) => s.deliveries,
+            Limit::Bytes(_) => s.bytes,
+            Limit::Money(_) => s.money,
+        }
+    }
+
+    /// What must stay in it after a delivery of this lane.
+    fn reserve(&self, lane: usize, again: bool) -> f64 {
+        let rank = self.ranks.get(lane).copied().unwrap_or(1.0);
+        self.limit() * (RESERVE * rank + if again { AGAIN } else { 0.0 })
+    }
+
+    fn fits(&self, amount: f64, reserve: f64) -> bool {
+        // A price of zero costs nothing, and so is never short.
+        amount <= 0.0 || self.used() + amount + reserve <= self.limit() * (1.0 + 1e-9)
+    }
+
+    /// Goes on under a budget that was read anew: what is spent stays spent, in the new window's bins.
+    fn renew(&mut self, now: Duration, budget: Budget) {
+        let width = self.budget.window / BINS;
+        let old = std::mem::take(&mut self.bins);
+        self.budget = budget;
+        let last = self.bin(now);
+        for b in old {
+            let at = Duration::from_micros((width.as_micros() as u64).saturating_mul(b.bin));
+            let bin = self.bin(at.min(now));
+            if bin + u64::from(BINS) < last {
+                continue;
+            }
+            match self.bins.back_mut().filter(|l| l.bin >= bin) {
+                Some(l) => (l.spent, l.taken) = (l.spent + b.spent, l.taken + b.taken),
+                None => self.bins.push_back(Spent { bin, ..b }),
+            }
+        }
+        self.sum = self.bins.iter().fold((0.0, 0.0), |s, b| (s.0 + b.spent, s.1 + b.taken));
+    }
+}
+
+/// What a delivery that is out has reserved.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reserved(Vec<(u32, f64)>);
+
+/// All budgets of one agent.
+#[derive(Clone, Debug)]
+pub struct Purses {
+    purses: Vec<Purse>,
+    ids: u32,
+    prices: Vec<Price>,
+    benefits: Vec<f64>,
+    /// The largest of late, out and back, by zone and lane.
+    largest: Vec<Vec<(f64, f64)>>,
+}
+
+impl Purses {
+    pub fn new(now: Duration, zoning: &Zoning) -> Purses {
+        let lanes = zoning.lanes.len();
+        let mut purses = Purses {
+            purses: Vec::new(),
+            ids: 0,
+            prices: Vec::new(),
+            benefits: Vec::new(),
+            largest: vec![vec![(GUESS, GUESS); lanes]; zoning.all()],
+        };
+        purses.renew(now, zoning);
+        purses
+    }
+
+    /// Goes on under what was read anew. A budget is the same if its name and its unit are; a lower one holds
+    /// at once, whatever was spent.
+    pub fn renew(&mut self, now: Duration, zoning: &Zoning) {
+        let mut old = std::mem::take(&mut self.purses);
+        self.prices = (0..zoning.all()).map(|z| zoning.link(z).price).collect();
+        self.benefits = zoning.lanes.iter().map(|l: &LaneView| l.benefit).collect();
+        for budget in &zoning.budgets {
+            let same =
+                |p: &Purse| p.budget.name == budget.name && p.budget.limit.unit() == budget.limit.unit();
+            match old.iter().position(same) {
+                Some(n) => {
+                    let mut purse = old.swap_remove(n);
+                    purse.renew(now, budget.clone());
+                    self.purses.push(purse);
+                }
+                None => {
+                    self.ids += 1;
+                    self.purses.push(Purse::new(now, budget.clone(), self.ids));
+                }
+            }
+        }
+        self.rank();
+    }
+
+    /// Orders the lanes of each purse by benefit for cost.
+    pub fn rank(&mut self) {
+        for n in 0..self.purses.len() {
+            let purse = &self.purses[n];
+            let to = purse.budget.to;
+            let cost = |lane: usize| {
+                // To no zone in particular: the dearest way counts.
+                let zones = (0..self.largest.len()).filter(|z| to.is_none_or(|t| t == *z));
+                zones.map(|z| purse.amount(&self.estimate(z, lane))).fold(0.0, f64::max)
+            };
+            let worth: Vec<f64> =
+                self.benefits.iter().enumerate().map(|(l, b)| b.max(0.0) / cost(l).max(1e-12)).collect();
+            let mut order: Vec<usize> = (0..worth.len()).filter(|l| purse.covers_lane(*l)).collect();
+            order.sort_by(|a, b| worth[*b].total_cmp(&worth[*a]));
+            let last = order.len().saturating_sub(1).max(1) as f64;
+            let mut ranks = vec![1.0; worth.len()];
+            let mut before: Option<(f64, f64)> = None;
+            for (place, lane) in order.into_iter().enumerate() {
+                // Equals stand together.
+                let rank = before.filter(|(w, _)| *w == worth[lane]).map_or(place as f64 / last, |(_, r)| r);
+                (ranks[lane], before) = (rank, Some((worth[lane], rank)));
+            }
+            self.purses[n].ranks = ranks;
+        }
+    }
+
+    /// What one more delivery may take.
+    pub fn estimate(&self, to: usize, lane: usize) -> Spending {
+        let largest = self.largest.get(to).and_then(|z| z.get(lane)).copied();
+        let (out, back) = largest.unwrap_or((GUESS, GUESS));
+        let money = self.prices.get(to).map_or(0.0, |p| p.of(1, out as u64, back as u64));
+        Spending { deliveries: 1.0, bytes: out + back, money }
+    }
+
+    pub fn taken(&mut self, now: Duration, lane: usize) {
+        for p in self.purses.iter_mut().filter(|p| p.budget.lane.is_none_or(|l| l == lane)) {
+            p.taken(now);
+        }
+    }
+
+    /// Lets old spending go.
+    pub fn roll(&mut self, now: Duration) {
+        for p in &mut self.purses {
+            p.roll(now);
+        }
+    }
+
+    /// Whether a delivery may cross by choice: it leaves in each purse what others are worth more for.
+    pub fn admits(&self, to: usize, lane: usize, again: bool) -> bool {
+        let takes = self.estimate(to, lane);
+        let short = |p: &Purse| !p.fits(p.amount(&takes), p.reserve(lane, again));
+        !self.purses.iter().any(|p| p.covers(to, lane) && short(p))
+    }
+
+    /// A delivery crosses. It reserves what it may take; `Err` with that where it goes over a limit.
+    pub fn reserve(&mut self, now: Duration, to: usize, lane: usize) -> Result<Reserved, Reserved> {
+        let takes = self.estimate(to, lane);
+        let (mut reserved, mut over) = (Vec::new(), false);
+        for p in self.purses.iter_mut().filter(|p| p.covers(to, lane)) {
+            p.roll(now);
+            let amount = p.amount(&takes);
+            over |= !p.fits(amount, 0.0);
+            p.held += amount;
+            reserved.push((p.id, amount));
+        }
+        if over {
+            Err(Reserved(reserved))
+        } else {
+            Ok(Reserved(reserved))
+        }
+    }
+
+    /// It went over, for this reason: counted at each purse that was too short for it.
+    pub fn over(&mut self, to: usize, lane: usize, reason: Reason) {
+        for p in self.purses.iter_mut().filter(|p| p.covers(to, lane)) {
+            if p.used() > p.limit() * (1.0 + 1e-9) {
+                p.over += 1;
+                p.over_for[reason as usize] += 1;
+            }
+        }
+    }
+
+    /// It has ended: what it took takes the place of what it reserved. What it cost, by its link's price.
+    pub fn settle(
+        &mut self,
+        now: Duration,
+        (to, lane): (usize, usize),
+        reserved: &Reserved,
+        deliveries: u64,
+        (out, back): (u64, u64),
+    ) -> f64 {
+        let money = self.prices.get(to).map_or(0.0, |p| p.of(deliveries, out, back));
+        if let Some(l) = self.largest.get_mut(to).and_then(|z| z.get_mut(lane)).filter(|_| deliveries > 0) {
+            *l = ((l.0 * LARGEST_FADE).max(out as f64), (l.1 * LARGEST_FADE).max(back as f64));
+        }
+        let took = Spending { deliveries: deliveries as f64, bytes: (out + back) as f64, money };
+        for (id, amount) in &reserved.0 {
+            let Some(p) = self.purses.iter_mut().find(|p| p.id == *id) else { continue };
+            p.held = (p.held - amount).max(0.0);
+            if p.held < 1e-9 {
+                p.held = 0.0;
+            }
+            p.spend(now, p.amount(&took));
+        }
+        money
+    }
+
+    /// What opening a connection took: bytes and money, though no command crossed. Budgets of a lane are not
+    /// charged, as it serves any.
+    pub fn charge(&mut self, now: Duration, to: usize, (out, back): (u64, u64)) -> f64 {
+        let money = self.prices.get(to).map_or(0.0, |p| p.of(0, out, back));
+        let took = Spending { deliveries: 0.0, bytes: (out + back) as f64, money };
+        let any = |p: &&mut Purse| p.budget.lane.is_none() && p.budget.to.is_none_or(|t| t == to);
+        for p in self.purses.iter_mut().filter(any) {
+            p.spend(now, p.amount(&took));
+        }
+        money
+    }
+
+    pub fn purses(&self) -> &[Purse] {
+        &self.purses
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.purses.is_empty()
+    }
+}
+
+impl Purse {
+    fn covers_lane(&self, lane: usize) -> bool {
+        self.budget.lane.is_none_or(|l| l == lane)
+    }
+}
--- /dev/null
+++ b/crates/zones/src/route.rs
@@ -0,0 +1,344 @@
+//! How much crosses: near first while near has room, more by degrees as it fills, and back by degrees.
+//!
+//! Two things say that near is full. *What it was seen to bear*: near is given up to [`TRUSTED`] times the
+//! highest rate per open appliance that it answered at its usual pace in the last minutes; what comes beyond
+//! goes over at once, so that losing half of near does not have to be felt first. And *its answers*: once they
+//! are slower than the far side's, way included, by [`FULL`], more crosses with each step; once they are quicker
+//! again ([`EASED`]), less. Rising is never delayed. Falling waits for a calm span, which doubles each time the
+//! direction turns and halves while it does not: near that flaps cannot make commands swing with it.
+
+use crate::zoning::{LaneView, Routing};
+use std::time::Duration;
+use tulipwall::Room;
+
+/// A near answer is this much slower than a far one, its way included: near is full.
+const FULL: f64 = 1.25;
+/// It is not slower than this: near has room again.
+const EASED: f64 = 1.02;
+/// Of the highest rate that near was seen to bear.
+const TRUSTED: f64 = 1.25;
+/// Its usual pace: no slower than this against its best of late.
+const AT_EASE: f64 = 1.3;
+/// How fast the rate that it was seen to bear is forgotten: by half in five minutes of steps.
+const BORNE_FADE: f64 = 0.99977;
+/// Each step that near is full: the part that crosses grows by half, by this at least.
+const RISE: f64 = 1.5;
+const RISE_LEAST: f64 = 0.02;
+/// Each step after the calm span: by half in about two seconds.
+const FALL: f64 = 0.965;
+/// What crosses at least, so that the way stays known: a hundredth.
+const TRICKLE: f64 = 0.01;
+const CALM_LEAST: Duration = Duration::from_secs(1);
+const CALM_MOST: Duration = Duration::from_secs(16);
+/// Without a turn for as long, the calm span is halved.
+const CALM_HALVES: Duration = Duration::from_secs(20);
+/// Steps are this far apart; one that comes later counts once.
+pub const STEP: Duration = Duration::from_millis(100);
+/// How fast the pace of answers follows, each.
+const PACE_GAIN: f64 = 0.05;
+/// How fast the usual time of a lane follows.
+const USUAL_GAIN: f64 = 0.005;
+/// A pace without an answer for as long says nothing.
+const PACE_KEPT: Duration = Duration::from_secs(10);
+/// Of the quoted time: a near answer that takes as long is near to being late, so that the budget yields. The
+/// decisions begin to deny at 0.4. Back below seven tenths of it.
+const YIELDS: (f64, f64) = (0.15, 0.3);
+const YIELDS_OVER_LEAST: f64 = 1.5;
+const YIELDS_UNTIL: f64 = 0.7;
+/// How fast the number of warm appliances of late falls to what it is: by half in five seconds.
+const WARM_FADE: f64 = 0.986;
+const COLD_LEAST: f64 = 0.2;
+
+/// Why a command crossed though a budget was spent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The build on trial must be judged, and its cap bounds what that takes.
+    Trial,
+    /// It is deduplicated in a group that lies there, where it may have run.
+    Group,
+    /// No appliance is near.
+    NoNear,
+    /// All near ones drain.
+    Drained,
+    /// All near ones are set aside or silent.
+    Aside,
+    /// All near ones that answer are cold and had their part.
+    Cold,
+    /// Near answers would come too late.
+    Full,
+    /// Each near one that could take it has failed it.
+    Tried,
+    /// The cap of a build on trial, or the builds that a key is bound to, left nothing near.
+    Barred,
+}
+
+impl Reason {
+    pub const ALL: [Reason; 9] = [
+        Reason::Trial,
+        Reason::Group,
+        Reason::NoNear,
+        Reason::Drained,
+        Reason::Aside,
+        Reason::Cold,
+        Reason::Full,
+        Reason::Tried,
+        Reason::Barred,
+    ];
+
+    /// As reports write it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Reason::Trial => "trial",
+            Reason::Group => "group",
+            Reason::NoNear => "no_near",
+            Reason::Drained => "drained",
+            Reason::Aside => "aside",
+            Reason::Cold => "cold",
+            Reason::Full => "full",
+            Reason::Tried => "tried",
+            Reason::Barred => "barred",
+        }
+    }
+
+    /// Why a delivery that is neither to a trial nor bound to a group went over from this zone.
+    pub fn of(near: &Room, full: bool, nth: usize) -> Reason {
+        match near {
+            Room { running: 0, draining: 0, .. } => Reason::NoNear,
+            Room { running: 0, .. } => Reason::Drained,
+            Room { awake: 0, .. } => Reason::Aside,
+            Room { warm: 0, .. } => Reason::Cold,
+            _ if full => Reason::Full,
+            _ if nth > 0 => Reason::Tried,
+            _ => Reason::Barred,
+        }
+    }
+}
+
+/// What is known of one zone.
+#[derive(Clone, Debug, Default)]
+struct Side {
+    /// Answer times against the usual of their lanes, and when the last came.
+    pace: Option<(f64, Duration)>,
+    best: f64,            // the lowest pace of late
+    sent: f64,            // since the last step
+    rate: f64,            // deliveries a second
+    borne: f64,           // per open appliance, at its usual pace
+    opening: Option<f64>, // seconds to a new connection, the least of late
+    draw: f64,
+    /// Part of what is wanted to cross by the answers.
+    felt: f64,
+    since: Duration, // of the last turn
+    rising: bool,
+    calm: Duration,
+    calmed: Duration,
+    turns: u64,
+}
+
+/// The usual time of one lane, and of its near answers.
+#[derive(Clone, Debug, Default)]
+struct Pace {
+    usual: Option<f64>,
+    near: Option<f64>,
+    least: f64,
+    full: bool,
+}
+
+/// The routing of one agent.
+#[derive(Clone, Debug)]
+pub struct Route {
+    own: usize,
+    routing: Routing,
+    quoted: Vec<f64>,
+    stated: Vec<Option<Duration>>,
+    lanes: Vec<Pace>,
+    sides: Vec<Side>,
+    warm: f64, // appliances of late
+    cold: f64,
+    stepped: Option<Duration>,
+}
+
+impl Route {
+    /// `stated`: what the way to each zone adds to an answer, where the installation says so.
+    pub fn new(own: usize, routing: Routing, lanes: &[LaneView], stated: Vec<Option<Duration>>) -> Route {
+        Route {
+            own,
+            routing,
+            quoted: lanes.iter().map(|l| l.quoted.as_secs_f64()).collect(),
+            lanes: vec![Pace::default(); lanes.len()],
+            sides: vec![Side { calm: CALM_LEAST, draw: 1.0, ..Side::default() }; stated.len()],
+            stated,
+            warm: 0.0,
+            cold: 1.0,
+            stepped: None,
+        }
+    }
+
+    /// What was read anew; what was learned stays.
+    pub fn renew(&mut self, routing: Routing, stated: Vec<Option<Duration>>) {
+        (self.routing, self.stated) = (routing, stated);
+    }
+
+    /// A delivery went to this zone.
+    pub fn sent(&mut self, zone: usize) {
+        self.sides.get_mut(zone).into_iter().for_each(|s| s.sent += 1.0);
+    }
+
+    /// A satisfied answer from this zone took so long.
+    pub fn answered(&mut self, now: Duration, zone: usize, lane: usize, took: Duration) {
+        let (Some(pace), Some(side)) = (self.lanes.get_mut(lane), self.sides.get_mut(zone)) else { return };
+        let took = took.as_secs_f64().max(1e-6);
+        let usual = pace.usual.get_or_insert(took);
+        *usual += (took.min(*usual * 10.0) - *usual) * USUAL_GAIN;
+        let x = (took / *usual).min(20.0);
+        let kept = side.pace.filter(|(_, at)| now < *at + PACE_KEPT).map_or(x, |(p, _)| p);
+        side.pace = Some((kept + (x - kept) * PACE_GAIN, now));
+        if zone == self.own {
+            let near = pace.near.get_or_insert(took);
+            *near += (took - *near) * PACE_GAIN;
+            pace.least = if pace.least == 0.0 { *near } else { (pace.least * 1.0002).min(*near) };
+        }
+    }
+
+    /// A connection to this zone was ready after so long.
+    pub fn opened(&mut self, zone: usize, took: Duration) {
+        let Some(side) = self.sides.get_mut(zone) else { return };
+        let took = took.as_secs_f64();
+        side.opening = Some(side.opening.map_or(took, |least| (least * 1.02).min(took)));
+    }
+
+    /// What the way there and back adds to an answer: as stated, else what new connections there took longer
+    /// than near ones. Zero while neither is known.
+    pub fn added(&self, zone: usize) -> Duration {
+        if zone == self.own {
+            return Duration::ZERO;
+        }
+        if let Some(stated) = self.stated.get(zone).copied().flatten() {
+            return stated;
+        }
+        let opening = |zone: usize| self.sides.get(zone).and_then(|s| s.opening);
+        let added = opening(zone).zip(opening(self.own)).map_or(0.0, |(far, near)| (far - near).max(0.0));
+        Duration::from_secs_f64(added.min(60.0))
+    }
+
+    /// Looks at how much should cross from now on; about every [`STEP`]. After a stall it counts once.
+    pub fn step(&mut self, now: Duration, rooms: &[Room]) {
+        let span = self.stepped.map_or(STEP, |t| now.saturating_sub(t));
+        if span < STEP / 2 {
+            return;
+        }
+        self.stepped = Some(now);
+        for side in &mut self.sides {
+            side.rate += (side.sent / span.as_secs_f64() - side.rate) * 0.2;
+            side.sent = 0.0;
+            side.pace = side.pace.filter(|(_, at)| now < *at + PACE_KEPT);
+        }
+        self.yields();
+        let warm: f64 = rooms.iter().map(|r| r.warm as f64).sum();
+        self.warm = (self.warm * WARM_FADE).max(warm);
+        // Warm ones that take over from others carry more than they were made for; cold ones must not follow.
+        self.cold = if self.warm > 0.0 { (warm / self.warm).clamp(COLD_LEAST, 1.0) } else { 1.0 };
+        let near = rooms.get(self.own).map_or(0.0, |r| r.open);
+        let all: f64 = self.sides.iter().map(|s| s.rate).sum();
+        let own = self.near_pace();
+        let Some(side) = self.sides.get_mut(self.own) else { return };
+        side.best = if side.best == 0.0 { own } else { (side.best * 1.0005).min(own) };
+        side.borne *= BORNE_FADE;
+        if near > 0.0 && own <= side.best * AT_EASE {
+            side.borne = side.borne.max(side.rate / near);
+        }
+        let borne = side.borne;
+        // What comes beyond what near was seen to bear, as a part of all.
+        let beyond = if near > 0.0 && borne > 0.0 && all > 0.0 {
+            (1.0 - borne * TRUSTED * near / all).clamp(0.0, 1.0)
+        } else {
+            0.0
+        };
+        let ways: Vec<f64> = (0..self.sides.len()).map(|z| self.way(z)).collect();
+        let here = self.own;
+        let others = (0..ways.len()).filter(move |z| *z != here);
+        let best = others.clone().map(|z| ways[z]).fold(f64::MAX, f64::min);
+        for zone in others.clone() {
+            self.feel(now, zone, own, ways[zone], near > 0.0);
+        }
+        // Of several far sides the quicker ones draw more, by the fourth power.
+        let liking = |z: usize| (best / ways[z]).powi(4);
+        let open = |z: usize| rooms.get(z).map_or(0.0, |r| r.open);
+        let weight: f64 = others.clone().map(|z| open(z) * liking(z)).sum();
+        for zone in others {
+            let part = self.sides[zone].felt.max(beyond).min(0.999);
+            let wanted = part / (1.0 - part) * near / weight.max(1e-9);
+            let full = near <= 0.0;
+            self.sides[zone].draw = (liking(zone) * if full { 1.0 } else { wanted }).clamp(1e-4, 1.0);
+        }
+    }
+
+    /// What answers say of how much should cross to this zone.
+    fn feel(&mut self, now: Duration, zone: usize, own: f64, way: f64, near: bool) {
+        let side = &mut self.sides[zone];
+        if now > side.calmed + CALM_HALVES {
+            (side.calm, side.calmed) = ((side.calm / 2).max(CALM_LEAST), now);
+        }
+        let (rise, fall) = (!near || own > way * FULL, near && own < way * EASED);
+        if rise && !side.rising {
+            let soon = now < side.since + CALM_HALVES && side.turns > 0;
+            side.calm = if soon { (side.calm * 2).min(CALM_MOST) } else { side.calm };
+            (side.rising, side.since, side.calmed) = (true, now, now);
+            side.turns += 1;
+        }
+        if rise {
+            side.since = now;
+            side.felt = if near { (side.felt * RISE).max(side.felt + RISE_LEAST).min(0.98) } else { 0.98 };
+        }
+        if fall && now >= side.since + side.calm {
+            side.rising = false;
+            side.felt = (side.felt * FALL).max(TRICKLE);
+        }
+        side.felt = side.felt.max(TRICKLE);
+    }
+
+    /// Whether near answers of a lane are so slow that a budget must yield.
+    fn yields(&mut self) {
+        for (lane, quoted) in self.lanes.iter_mut().zip(&self.quoted) {
+            let Some(near) = lane.near else { continue };
+            let from = (lane.least * YIELDS_OVER_LEAST).clamp(quoted * YIELDS.0, quoted * YIELDS.1);
+            lane.full = near > if lane.full { from * YIELDS_UNTIL } else { from };
+        }
+    }
+
+    fn near_pace(&self) -> f64 {
+        self.sides.get(self.own).and_then(|s| s.pace).map_or(1.0, |(p, _)| p)
+    }
+
+    /// The pace of answers from a zone; where none came, near's best and the way there.
+    fn way(&self, zone: usize) -> f64 {
+        if let Some((pace, _)) = self.sides[zone].pace {
+            return pace.max(1e-3);
+        }
+        let usual: Vec<f64> = self.lanes.iter().filter_map(|l| l.usual).collect();
+        let usual = usual.iter().sum::<f64>() / usual.len().max(1) as f64;
+        let best = self.sides.get(self.own).map_or(1.0, |s| if s.best > 0.0 { s.best } else { 1.0 });
+        let added = if usual > 0.0 { self.added(zone).as_secs_f64() / usual } else { 0.0 };
+        best + added
+    }
+
+    /// What an appliance of this zone draws against a near one; `None` where the decisions' own figure holds.
+    pub fn draw(&self, zone: usize) -> Option<f64> {
+        let near_first = self.routing == Routing::NearFirst && zone != self.own;
+        near_first.then(|| self.sides.get(zone).map(|s| s.draw)).flatten()
+    }
+
+    /// Near answers of this lane are near to being late.
+    pub fn full(&self, lane: usize) -> bool {
+        self.lanes.get(lane).is_some_and(|l| l.full)
+    }
+
+    /// What part of its share a cold appliance gets.
+    pub fn cold(&self) -> f64 {
+        self.cold
+    }
+
+    /// How often the direction to this zone has turned upwards.
+    pub fn turns(&self, zone: usize) -> u64 {
+        self.sides.get(zone).map_or(0, |s| s.turns)
+    }
+}
--- /dev/null
+++ b/crates/zones/src/series.rs
@@ -0,0 +1,103 @@
+//! What crossed over time, in bins of one width, for a bounded span.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// What crossed in one bin; only bins in which something did are kept.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Bin {
+    /// Which bin it is, counted from the zero of time.
+    pub at: u32,
+    pub deliveries: u32,
+    /// Of these, over a budget.
+    pub over: u32,
+    pub cost: f32,
+    pub out: u64,
+    pub back: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Series {
+    width: Duration,
+    most: u32,
+    bins: VecDeque<Bin>,
+}
+
+impl Series {
+    /// Keeps the last `most` spans of `width`.
+    pub fn new(width: Duration, most: u32) -> Series {
+        Series { width, most, bins: VecDeque::new() }
+    }
+
+    pub fn width(&self) -> Duration {
+        self.width
+    }
+
+    /// The bin of this time, which drops those that are too old. A time before the newest bin's counts there.
+    pub fn bin(&mut self, now: Duration) -> &mut Bin {
+        let at = (now.as_secs_f64() / self.width.as_secs_f64().max(1e-3)) as u32;
+        if self.bins.back().is_none_or(|b| b.at < at) {
+            self.bins.push_back(Bin { at, ..Bin::default() });
+            while self.bins.front().is_some_and(|b| b.at + self.most <= at) {
+                self.bins.pop_front();
+            }
+        }
+        let last = self.bins.len() - 1;
+        &mut self.bins[last]
+    }
+
+    pub fn bins(&self) -> impl Iterator<Item = &Bin> {
+        self.bins.iter()
+    }
+
+    /// Adds another series of the same width to this one.
+    pub fn merge(&mut self, other: &Series) {
+        let mut bins: Vec<Bin> = self.bins.iter().chain(&other.bins).copied().collect();
+        bins.sort_by_key(|b| b.at);
+        bins.dedup_by(|b, kept| {
+            let same = b.at == kept.at;
+            if same {
+                kept.deliveries += b.deliveries;
+                kept.over += b.over;
+                kept.cost += b.cost;
+                kept.out += b.out;
+                kept.back += b.back;
+            }
+            same
+        });
+        let newest = bins.last().map_or(0, |b| b.at);
+        bins.retain(|b| b.at + self.most > newest);
+        self.bins = bins.into();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn old_bins_go_and_empty_ones_are_never_kept() {
+        let mut series = Series::new(Duration::from_secs(10), 360);
+        for n in 0..2000 {
+            series.bin(Duration::from_secs(n * 25)).deliveries += 1;
+        }
+        assert!(series.bins().count() <= 144 + 1);
+        let (first, last) = (series.bins().next().unwrap().at, series.bins().last().unwrap().at);
+        assert!(last - first < 360);
+    }
+
+    #[test]
+    fn merged_series_hold_the_sum_of_both() {
+        let (mut one, mut two) =
+            (Series::new(Duration::from_secs(1), 10), Series::new(Duration::from_secs(1), 10));
+        for n in [1, 3, 5] {
+            one.bin(Duration::from_secs(n)).out += 10;
+        }
+        for n in [3, 4, 5, 12] {
+            two.bin(Duration::from_secs(n)).out += 1;
+        }
+        one.merge(&two);
+        let bins: Vec<(u32, u64)> = one.bins().map(|b| (b.at, b.out)).collect();
+        assert_eq!(bins, [(3, 11), (4, 1), (5, 11), (12, 1)]);
+    }
+}
--- /dev/null
+++ b/crates/zones/src/zones.rs
@@ -0,0 +1,204 @@
+//! All of it for one agent: told what is taken, sent and answered, it accounts, spends and says what crossing
+//! means just now.
+
+use crate::account::{Account, Ended, Opening};
+use crate::budget::{Purses, Reserved};
+use crate::route::{Reason, Route};
+use crate::zoning::Zoning;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tulipwall::{Crossing, Crossings, Outcome, Room};
+
+/// A delivery that was decided on.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending {
+    pub to: usize,
+    pub lane: usize,
+    pub build: u32,
+    /// How many deliveries of its command came before.
+    pub nth: usize,
+    /// Another delivery of its command is out.
+    pub second_copy: bool,
+    /// Its build is on trial.
+    pub trial: bool,
+    /// Its command is deduplicated in a zone or cell, and may have run there.
+    pub bound: bool,
+}
+
+/// A delivery that is out, to be given back when it ends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    pub to: usize,
+    pub lane: usize,
+    pub build: u32,
+    /// Why it went though a budget was spent; nothing where none was.
+    pub over: Option<Reason>,
+    reserved: Reserved,
+}
+
+/// The zones as one agent sees them.
+#[derive(Debug)]
+pub struct Zones {
+    zoning: Zoning,
+    account: Account,
+    purses: Purses,
+    route: Route,
+    told: Option<Crossings>,
+    due: bool,
+    ranked: Duration,
+}
+
+/// How often lanes are ordered anew by benefit for cost.
+const RANK_EVERY: Duration = Duration::from_secs(1);
+
+impl Zones {
+    pub fn new(now: Duration, zoning: Zoning) -> Zones {
+        let stated = (0..zoning.all()).map(|z| zoning.link(z).delay).collect();
+        Zones {
+            account: Account::new(zoning.own, zoning.lanes.len()),
+            purses: Purses::new(now, &zoning),
+            route: Route::new(zoning.own, zoning.routing, &zoning.lanes, stated),
+            zoning,
+            told: None,
+            due: true,
+            ranked: now,
+        }
+    }
+
+    /// Goes on under what was read anew: the account and what is spent stay. Its zones and lanes must be those
+    /// of before, which a restart alone may change; otherwise nothing changes and this says so.
+    pub fn renew(&mut self, now: Duration, zoning: Zoning) -> Result<(), &'static str> {
+        let same = |z: &Zoning| (z.own, z.zones, z.lanes.len());
+        if same(&zoning) != same(&self.zoning) {
+            return Err("zones and lanes stay those read at the start until a restart");
+        }
+        let stated = (0..zoning.all()).map(|z| zoning.link(z).delay).collect();
+        self.route.renew(zoning.routing, stated);
+        self.purses.renew(now, &zoning);
+        self.zoning = zoning;
+        self.due = true;
+        Ok(())
+    }
+
+    /// A command was taken.
+    pub fn taken(&mut self, now: Duration, lane: usize) {
+        self.account.taken(lane);
+        self.purses.taken(now, lane);
+    }
+
+    /// A delivery was decided on; `rooms` is asked only where it goes over a budget, to say why.
+    pub fn sent(&mut self, now: Duration, s: Sending, rooms: impl FnOnce() -> Vec<Room>) -> Ticket {
+        let to = s.to.min(self.zoning.zones);
+        self.account.decided(to, s.lane, s.build, s.nth, s.second_copy);
+        self.route.sent(to);
+        let mut ticket =
+            Ticket { to, lane: s.lane, build: s.build, over: None, reserved: Reserved::default() };
+        if to == self.zoning.own || self.purses.is_empty() {
+            return ticket;
+        }
+        self.due = true;
+        ticket.reserved = match self.purses.reserve(now, to, s.lane) {
+            Ok(reserved) => reserved,
+            Err(reserved) => {
+                let reason = match s {
+                    Sending { trial: true, .. } => Reason::Trial,
+                    Sending { bound: true, .. } => Reason::Group,
+                    _ => {
+                        let near = rooms().get(self.zoning.own).cloned().unwrap_or_default();
+                        Reason::of(&near, self.route.full(s.lane), s.nth)
+                    }
+                };
+                self.purses.over(to, s.lane, reason);
+                ticket.over = Some(reason);
+                reserved
+            }
+        };
+        ticket
+    }
+
+    /// It ended.
+    pub fn ended(&mut self, now: Duration, t: &Ticket, e: &Ended) {
+        let written = u64::from(e.written);
+        let cost = match t.to == self.zoning.own {
+            true => 0.0,
+            false => self.purses.settle(now, (t.to, t.lane), &t.reserved, written, (e.out, e.back)),
+        };
+        self.account.ended(now, t.to, t.lane, t.build, t.over, e, cost);
+        if e.outcome == Outcome::Satisfied {
+            self.route.answered(now, t.to, t.lane, e.took);
+        }
+    }
+
+    /// A connection was opened, or ended while nothing was out on it.
+    pub fn opened(&mut self, now: Duration, o: &Opening) {
+        let to = o.to.min(self.zoning.zones);
+        let cost = if to == self.zoning.own { 0.0 } else { self.purses.charge(now, to, (o.out, o.back)) };
+        self.account.opened(now, &Opening { to, ..*o }, cost);
+        if let Some(took) = o.took {
+            self.route.opened(to, took);
+        }
+    }
+
+    /// Looks at how much should cross, about every 100 ms.
+    pub fn step(&mut self, now: Duration, rooms: &[Room]) {
+        self.route.step(now, rooms);
+        self.purses.roll(now);
+        if now >= self.ranked + RANK_EVERY {
+            (self.ranked, self.due) = (now, true);
+            self.purses.rank();
+        }
+        self.due = true;
+    }
+
+    /// What crossing means now, if that is other than what was told last.
+    pub fn crossings(&mut self) -> Option<Crossings> {
+        if !std::mem::take(&mut self.due) {
+            return None;
+        }
+        let zones = (0..self.zoning.all()).map(|zone| self.crossing(zone)).collect();
+        let now = Crossings { zones, cold: self.route.cold() };
+        if self.told.as_ref() == Some(&now) {
+            return None;
+        }
+        self.told = Some(now.clone());
+        Some(now)
+    }
+
+    fn crossing(&self, zone: usize) -> Crossing {
+        if zone == self.zoning.own {
+            return Crossing::default();
+        }
+        let last = |again: bool| {
+            let lanes = if self.purses.is_empty() { 0 } else { self.zoning.lanes.len() };
+            let spared = |lane: usize| !self.route.full(lane) && !self.purses.admits(zone, lane, again);
+            (0..lanes).map(spared).collect()
+        };
+        Crossing {
+            draw: self.route.draw(zone),
+            added: self.route.added(zone),
+            last: last(false),
+            again_last: last(true),
+        }
+    }
+
+    /// Only these builds are alive.
+    pub fn alive(&mut self, builds: &BTreeSet<u32>) {
+        self.account.alive(builds);
+    }
+
+    pub fn zoning(&self) -> &Zoning {
+        &self.zoning
+    }
+
+    pub fn account(&self) -> &Account {
+        &self.account
+    }
+
+    pub fn purses(&self) -> &Purses {
+        &self.purses
+    }
+
+    pub fn route(&self) -> &Route {
+        &self.route
+    }
+}
--- /dev/null
+++ b/crates/zones/src/zoning.rs
@@ -0,0 +1,115 @@
+//! What an installation says of its zones, as numbers; `tulipwall-deployment` reads, checks and names it.
+
+use std::time::Duration;
+
+/// All that one agent goes by.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zoning {
+    /// The zone this agent stands in.
+    pub own: usize,
+    /// How many zones have names. Number `zones` stands for a zone that the installation does not name: it is
+    /// never near, and a link of its own.
+    pub zones: usize,
+    pub lanes: Vec<LaneView>,
+    /// The way to each zone, `zones + 1` of them.
+    pub links: Vec<Link>,
+    pub budgets: Vec<Budget>,
+    pub routing: Routing,
+}
+
+impl Zoning {
+    /// How many zones there are with the unnamed one.
+    pub fn all(&self) -> usize {
+        self.zones + 1
+    }
+
+    /// The way to this zone; one without price or delay where nothing was said of it.
+    pub fn link(&self, to: usize) -> Link {
+        self.links.get(to).copied().unwrap_or_default()
+    }
+}
+
+/// What counts of a lane here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LaneView {
+    /// Points for an answer in time.
+    pub benefit: f64,
+    pub quoted: Duration,
+}
+
+/// The way from the agent's zone to another, there and back.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Link {
+    pub price: Price,
+    /// What there and back adds to an answer; measured on new connections where it is not stated.
+    pub delay: Option<Duration>,
+}
+
+/// In the installation's own unit of money.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Price {
+    pub delivery: f64,
+    /// For each GiB (2^30 bytes) written to the other zone.
+    pub out_gib: f64,
+    /// For each GiB read from it.
+    pub in_gib: f64,
+}
+
+impl Price {
+    pub fn of(&self, deliveries: u64, out: u64, back: u64) -> f64 {
+        const GIB: f64 = (1u64 << 30) as f64;
+        self.delivery * deliveries as f64 + self.out_gib * out as f64 / GIB + self.in_gib * back as f64 / GIB
+    }
+}
+
+/// A bound on what crosses in any window.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Budget {
+    pub name: String,
+    /// Only crossings to this zone, or to all others.
+    pub to: Option<usize>,
+    /// Only of this lane, or of all.
+    pub lane: Option<usize>,
+    pub limit: Limit,
+    pub window: Duration,
+    /// What part of an absolute limit this agent may spend, 0 to 1. The sum over all agents keeps to the limit
+    /// as long as the sum of their parts is 1 at most; what an idle one leaves, nobody else uses.
+    pub part: f64,
+}
+
+/// How much in a window, over all agents.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Limit {
+    Deliveries(f64),
+    /// Written and read, summed.
+    Bytes(f64),
+    Money(f64),
+    /// Of the commands taken in the same window, 0 to 1; holds for the sum where each agent keeps to it.
+    Share(f64),
+}
+
+impl Limit {
+    pub fn unit(&self) -> &'static str {
+        match self {
+            Limit::Deliveries(_) => "deliveries",
+            Limit::Bytes(_) => "bytes",
+            Limit::Money(_) => "money",
+            Limit::Share(_) => "share",
+        }
+    }
+
+    pub fn amount(&self) -> f64 {
+        match *self {
+            Limit::Deliveries(n) | Limit::Bytes(n) | Limit::Money(n) | Limit::Share(n) => n,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Routing {
+    /// The decisions' own figure for all other zones.
+    #[default]
+    AsEver,
+    /// Near first while near has room.
+    NearFirst,
+}
