--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -2,6 +2,7 @@
 
 use crate::lifecycle::life::Life;
 use crate::lifecycle::start::Start;
+use crate::memory::border::Border;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::hand::Hand;
@@ -16,18 +17,21 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tulipwall::{News, Vote};
-use tulipwall_deployment::Site;
+use tulipwall::{Crossings, News, Vote};
+use tulipwall_deployment::{Door, Site};
+use tulipwall_zones::Names;
 
 pub struct Agent {
     pub site: Site,
     pub listen: SocketAddr,
+    pub door: Option<Door>,
     pub discovery: Cell<SocketAddr>,
     pub platform: Cell<Option<SocketAddr>>,
     pub clock: Rc<Clock>,
     pub counters: Rc<Counters>,
     pub life: Life,
     pub hand: Hand,
+    pub border: Border,
     pub sockets: Sockets,
     pub buffers_most: Cell<usize>,
     pub tasks: LocalExecutor<'static>,
@@ -45,11 +49,15 @@
 impl Agent {
     pub fn start(start: Start) -> Rc<Agent> {
         let (clock, counters) = (Rc::new(Clock::start()), Rc::new(Counters::default()));
+        let (zones, lanes) = (start.site.zones.clone(), start.site.lanes.clone());
+        let names = Names { agent: start.name.clone(), zones, lanes };
         let agent = Rc::new(Agent {
             listen: start.listen,
+            door: start.door,
             discovery: Cell::new(start.discovery),
             platform: Cell::new(start.platform),
             hand: Hand::new(start.site.deployment.clone(), clock.clone(), counters.clone()),
+            border: Border::new(clock.now(), start.zoning, names),
             clock,
             counters,
             life: Life::start(),
@@ -79,13 +87,24 @@
     /// Goes on under a configuration that was read anew. Its list and news are no newer than what discovery
     /// and the platform tell at their new addresses; what only a restart can change is named and stays.
     pub fn renew(&self, start: Start) {
-        log::info!("{}: a new configuration; discovery at {}", start.name, start.discovery);
+        log::info!(agent = start.name.as_str(), discovery:% = start.discovery;
+            "{}: a new configuration; discovery at {}", start.name, start.discovery);
         if start.listen != self.listen {
             log::warn!("field listen: {} stays until a restart", self.listen);
         }
+        if start.door != self.door {
+            log::warn!("installation: door stays as it was until a restart");
+        }
         if !start.site.same(&self.site) {
             log::warn!("field settings: those read at the start stay until a restart");
         }
+        if let Err(what) = self.border.renew(self.clock.now(), start.zoning) {
+            log::warn!("installation: {what}");
+        }
+        if !self.border.watches() {
+            self.hand.crossings(Crossings::default());
+        }
+        self.crossings();
         self.discovery.set(start.discovery);
         self.platform.set(start.platform);
         self.sockets.resize(start.sockets);
@@ -109,6 +128,29 @@
     pub fn news(&self, t: Told) {
         let began = self.clock.now().saturating_sub(t.age);
         self.hand.news(News { build: t.build, stage: t.stage, phase: t.phase, cap: t.cap, began });
+        self.border.alive(|| self.builds());
+    }
+
+    /// The builds that are listed, and the newest that was told of.
+    fn builds(&self) -> std::collections::BTreeSet<u32> {
+        let mut builds = self.list.borrow().builds();
+        builds.extend(self.hand.newest());
+        builds
+    }
+
+    /// Looks at what should cross, about every 100 ms.
+    pub fn look_at_zones(&self) {
+        if self.border.watches() {
+            self.border.step(self.clock.now(), |zones| self.hand.rooms(zones));
+            self.crossings();
+        }
+    }
+
+    /// Tells the module what crossing means, where that has changed.
+    pub fn crossings(&self) {
+        if let Some(told) = self.border.crossings() {
+            self.hand.crossings(told);
+        }
     }
 
     pub fn listed(&self, told: Listing) {
@@ -116,6 +158,7 @@
         let (entries, stale) = self.list.borrow_mut().take(told, &self.site, &self.clock);
         stale.into_iter().for_each(|i| self.pools.borrow_mut().forget(i));
         self.hand.list(&entries, complete);
+        self.border.alive(|| self.builds());
         if self.list.borrow().serves() {
             self.first_list.notify(usize::MAX);
         }
--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -2,18 +2,19 @@
 
 use crate::agent::Agent;
 use crate::delivery::{deliver, Order};
+use crate::memory::border::Meter;
 use crate::reactor::Timer;
 use crate::wire::connection::Connection;
 use crate::wire::statement::Statement;
 use futures_lite::future::{self, poll_fn};
-use std::cell::Cell;
 use std::future::Future;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tulipwall::{Answer, Command, Outcome};
+use tulipwall::{Answer, Command, Group, Outcome, Repeats};
+use tulipwall_zones::{Sending, Ticket};
 
 /// What a client may write ahead of its answers before it is held back.
 const AHEAD_MOST: usize = 16 * 1024;
@@ -32,7 +33,8 @@
 struct Out {
     sent: Duration,
     give_up: Duration,
-    written: Rc<Cell<bool>>,
+    meter: Rc<Meter>,
+    ticket: Option<Ticket>,
     ends: Pin<Box<dyn Future<Output = Ended>>>,
 }
 
@@ -57,12 +59,22 @@
     let command = Command { lane, customer, key: Some(number(&statement.object)), left };
     let statement = Rc::new(statement);
     let mut out: Vec<Option<Out>> = Vec::new();
-    let mut look: Option<Duration> = None;
+    let (mut look, mut ran): (Option<Duration>, bool) = (None, false);
+    agent.border.taken(agent.clock.now(), lane);
     let (id, mut answer) = agent.hand.take(command);
     let end = loop {
         match answer {
             Answer::Send { appliance, time_out, look: at } => {
-                out.push(Some(send(agent, &statement, appliance, time_out)));
+                let sending = Sending {
+                    to: 0,
+                    lane,
+                    build: 0,
+                    nth: out.len(),
+                    second_copy: out.iter().any(Option::is_some),
+                    trial: false,
+                    bound: ran && bound(agent, lane),
+                };
+                out.push(Some(send(agent, &statement, appliance, time_out, sending)));
                 look = at.or(look);
             }
             Answer::NotYet { until } => look = Some(until),
@@ -82,7 +94,10 @@
                 }
                 break Final::Satisfied(value);
             }
-            Next::Ended(n, sent, (outcome, _)) => agent.hand.after(id, n, sent, outcome, false),
+            Next::Ended(n, sent, (outcome, _)) => {
+                ran |= !outcome.never_ran();
+                agent.hand.after(id, n, sent, outcome, false)
+            }
             Next::Look => agent.hand.place(id),
             Next::Left => {
                 agent.hand.left(id);
@@ -103,27 +118,58 @@
     end
 }
 
-fn send(agent: &Rc<Agent>, statement: &Rc<Statement>, appliance: usize, time_out: Duration) -> Out {
+fn send(
+    agent: &Rc<Agent>,
+    statement: &Rc<Statement>,
+    appliance: usize,
+    time_out: Duration,
+    sending: Sending,
+) -> Out {
     let sent = agent.clock.now();
-    let (give_up, written) = (sent + time_out, Rc::new(Cell::new(false)));
+    let (give_up, meter) = (sent + time_out, Rc::new(Meter::default()));
     let Some(target) = agent.target(appliance) else {
-        return Out { sent, give_up, written, ends: Box::pin(async { (Outcome::NotSent, Vec::new()) }) };
+        let ends = Box::pin(async { (Outcome::NotSent, Vec::new()) });
+        return Out { sent, give_up, meter, ticket: None, ends };
     };
+    let trial = agent.hand.on_trial(target.build);
+    let sending = Sending { to: target.zone, build: target.build, trial, ..sending };
+    let ticket = agent.border.sent(sent, sending, || agent.hand.rooms(agent.site.zones.len() + 1));
+    if target.zone != agent.site.deployment.zone {
+        agent.crossings();
+    }
     let order = Order { target, turn: agent.hand.turn(), give_up, held: agent.hold(appliance) };
-    let (agent, statement, mark) = (agent.clone(), statement.clone(), written.clone());
+    let (agent, statement, on) = (agent.clone(), statement.clone(), meter.clone());
     Out {
         sent,
         give_up,
-        written,
-        ends: Box::pin(async move { deliver(&agent, &statement, order, &mark).await }),
+        meter,
+        ticket,
+        ends: Box::pin(async move { deliver(&agent, &statement, order, &on).await }),
+    }
+}
+
+/// Whether what may have run must stay in its zone or cell.
+fn bound(agent: &Agent, lane: usize) -> bool {
+    let repeats = agent.site.deployment.lanes[lane].repeats;
+    matches!(repeats, Repeats::Deduplicated { group: Group::Zone | Group::Cell, .. })
+}
+
+impl Out {
+    /// It is over: what it did goes into the account of what crosses.
+    fn account(self, agent: &Agent, outcome: Outcome) {
+        let Out { sent, meter, ticket, ends, .. } = self;
+        drop(ends);
+        let now = agent.clock.now();
+        agent.border.ended(now, ticket.as_ref(), &meter, outcome, now.saturating_sub(sent));
     }
 }
 
 /// Closes a delivery's connection, before anything else goes out for its command.
 fn withdraw(agent: &Agent, id: u64, out: &mut [Option<Out>], delivery: usize, closed: bool) -> Answer {
     match out.get_mut(delivery).and_then(Option::take) {
-        Some(Out { sent, ends, .. }) => {
-            drop(ends);
+        Some(o) => {
+            let sent = o.sent;
+            o.account(agent, Outcome::Withdrawn);
             agent.hand.after(id, delivery, sent, Outcome::Withdrawn, closed)
         }
         None => Answer::Wait,
@@ -143,13 +189,13 @@
     let mut timer = pin!(Timer::at(agent.clock.instant(first)));
     let mut leaves = pin!(leaves(client));
     poll_fn(|cx| {
-        if let Some((n, sent, ended)) = ended(out, cx) {
+        if let Some((n, sent, ended)) = ended(agent, out, cx) {
             return Poll::Ready(Next::Ended(n, sent, ended));
         }
         if leaves.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Next::Left);
         }
-        timer.as_mut().poll(cx).map(|()| match late(out, first) {
+        timer.as_mut().poll(cx).map(|()| match late(agent, out, first) {
             Some((n, sent, ended)) => Next::Ended(n, sent, ended),
             None if look.take_if(|at| *at <= first).is_some() => Next::Look,
             None => Next::Expired,
@@ -159,21 +205,22 @@
 }
 
 /// A delivery whose time is over is closed. It never ran if it was not yet written whole.
-fn late(out: &mut [Option<Out>], now: Duration) -> Option<(usize, Duration, Ended)> {
+fn late(agent: &Agent, out: &mut [Option<Out>], now: Duration) -> Option<(usize, Duration, Ended)> {
     let n = out.iter().position(|o| o.as_ref().is_some_and(|o| o.give_up <= now))?;
     let o = out[n].take()?;
-    let outcome = if o.written.get() { Outcome::TimedOut } else { Outcome::NoConnection };
-    Some((n, o.sent, (outcome, Vec::new())))
+    let outcome = if o.meter.written.get() { Outcome::TimedOut } else { Outcome::NoConnection };
+    let sent = o.sent;
+    o.account(agent, outcome);
+    Some((n, sent, (outcome, Vec::new())))
 }
 
-fn ended(out: &mut [Option<Out>], cx: &mut Context) -> Option<(usize, Duration, Ended)> {
+fn ended(agent: &Agent, out: &mut [Option<Out>], cx: &mut Context) -> Option<(usize, Duration, Ended)> {
     for (n, slot) in out.iter_mut().enumerate() {
-        let Some(Out { sent, ends, .. }) = slot else { continue };
-        if let Poll::Ready(ended) = ends.as_mut().poll(cx) {
-            let sent = *sent;
-            *slot = None;
-            return Some((n, sent, ended));
-        }
+        let Some(Poll::Ready(ended)) = slot.as_mut().map(|o| o.ends.as_mut().poll(cx)) else { continue };
+        let over = slot.take()?;
+        let sent = over.sent;
+        over.account(agent, ended.0);
+        return Some((n, sent, ended));
     }
     None
 }
@@ -192,9 +239,9 @@
 async fn rest(agent: &Agent, id: u64, mut out: Vec<Option<Out>>) {
     while let Some(give_up) = out.iter().flatten().map(|o| o.give_up).min() {
         let mut timer = pin!(Timer::at(agent.clock.instant(give_up)));
-        let ends = poll_fn(|cx| match ended(&mut out, cx) {
+        let ends = poll_fn(|cx| match ended(agent, &mut out, cx) {
             Some(ended) => Poll::Ready(Some(ended)),
-            None => timer.as_mut().poll(cx).map(|()| late(&mut out, give_up)),
+            None => timer.as_mut().poll(cx).map(|()| late(agent, &mut out, give_up)),
         });
         let Some((n, sent, (outcome, _))) = ends.await else { continue };
         if let Answer::Withdraw { delivery } = agent.hand.after(id, n, sent, outcome, true) {
--- /dev/null
+++ b/crates/agent/src/commands/report.rs
@@ -0,0 +1,245 @@
+//! Asks agents for their accounts, brings these together and prints them.
+
+use super::{plot, NO_REPORT};
+use clap::Args;
+use comfy_table::{presets, CellAlignment, Table};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use tulipwall_deployment::Door;
+use tulipwall_zones::{BudgetLine, Document, Line, LinkLine};
+
+const WITHIN: Duration = Duration::from_secs(5);
+/// What a report may hold at most, in bytes.
+const MOST: u64 = 1 << 30;
+
+#[derive(Args)]
+pub struct Ask {
+    /// Doors of agents: 127.0.0.1:PORT or unix:PATH. Several are added up.
+    #[arg(required = true, value_parser = Door::parse)]
+    doors: Vec<Door>,
+    /// All of it as one JSON document.
+    #[arg(long, conflicts_with = "svg")]
+    json: bool,
+    /// A plot over time with a line for each budget, written to this file.
+    #[arg(long, value_name = "FILE")]
+    svg: Option<PathBuf>,
+    /// A row for each build.
+    #[arg(long)]
+    builds: bool,
+}
+
+impl Ask {
+    pub fn print(self) -> ExitCode {
+        let (mut document, mut missing) = (None::<Document>, false);
+        for door in &self.doors {
+            match ask(door) {
+                Ok(d) => match document.as_mut() {
+                    Some(all) => all.merge(d),
+                    None => document = Some(d),
+                },
+                Err(what) => {
+                    eprintln!("{}: {what}", name(door));
+                    missing = true;
+                }
+            }
+        }
+        let Some(document) = document else { return NO_REPORT.into() };
+        let printed = if self.json {
+            serde_json::to_string_pretty(&document).map_err(|e| e.to_string()).map(|text| println!("{text}"))
+        } else if let Some(path) = &self.svg {
+            plot::write(&document, path).map(|()| println!("{}: written", path.display()))
+        } else {
+            print!("{}", tables(&document, self.builds));
+            Ok(())
+        };
+        match printed {
+            Err(what) => {
+                eprintln!("{what}");
+                ExitCode::FAILURE
+            }
+            Ok(()) if missing => NO_REPORT.into(),
+            Ok(()) => ExitCode::SUCCESS,
+        }
+    }
+}
+
+fn name(door: &Door) -> String {
+    match door {
+        Door::Tcp(address) => address.to_string(),
+        Door::Unix(path) => format!("unix:{}", path.display()),
+    }
+}
+
+/// The whole report behind a door.
+pub fn ask(door: &Door) -> Result<Document, String> {
+    match door {
+        Door::Tcp(address) => {
+            let stream = TcpStream::connect_timeout(address, WITHIN).map_err(|e| e.to_string())?;
+            let limited = stream.set_read_timeout(Some(WITHIN)).and(stream.set_write_timeout(Some(WITHIN)));
+            limited.map_err(|e| e.to_string())?;
+            read(stream)
+        }
+        Door::Unix(path) => {
+            let stream = UnixStream::connect(path).map_err(|e| e.to_string())?;
+            let limited = stream.set_read_timeout(Some(WITHIN)).and(stream.set_write_timeout(Some(WITHIN)));
+            limited.map_err(|e| e.to_string())?;
+            read(stream)
+        }
+    }
+}
+
+fn read(mut stream: impl Read + Write) -> Result<Document, String> {
+    let broken = |e: io::Error| e.to_string();
+    stream.write_all(b"GET /zones HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n").map_err(broken)?;
+    let mut lines = BufReader::new(stream.take(MOST)).lines();
+    let status = lines.next().ok_or("it closed without a word")?.map_err(broken)?;
+    for head in lines.by_ref() {
+        if head.map_err(broken)?.is_empty() {
+            break;
+        }
+    }
+    if status.split(' ').nth(1) != Some("200") {
+        let why = lines.next().and_then(Result::ok).unwrap_or_default();
+        return Err(format!("{status}: {why}"));
+    }
+    let mut document = Document::default();
+    for line in lines {
+        let line = line.map_err(broken)?;
+        let line: Line = serde_json::from_str(&line).map_err(|e| format!("a line that is no report: {e}"))?;
+        document.take(line)?;
+    }
+    if document.is_whole() {
+        Ok(document)
+    } else {
+        Err("the report stops short of its end".into())
+    }
+}
+
+/// The account as tables for people.
+pub fn tables(d: &Document, builds: bool) -> String {
+    let mut text = String::new();
+    for head in &d.heads {
+        let taken: u64 = head.taken.values().sum();
+        text +=
+            &format!("{} in {}: {taken} commands taken in {:.0} s\n", head.agent, head.zone, head.since_s);
+    }
+    let budgets: Vec<(&str, &BudgetLine)> =
+        d.heads.iter().flat_map(|h| h.budgets.iter().map(|b| (h.agent.as_str(), b))).collect();
+    if !budgets.is_empty() {
+        let mut table =
+            table(&["budget", "agent", "holds for", "in", "limit", "its part", "used", "over, and why"]);
+        for (agent, b) in budgets {
+            let scope = match (&b.to, &b.lane) {
+                (None, None) => "all that crosses".to_owned(),
+                (Some(to), None) => format!("to {to}"),
+                (None, Some(lane)) => lane.clone(),
+                (Some(to), Some(lane)) => format!("{lane} to {to}"),
+            };
+            let limit = if b.unit == "share" {
+                format!("{} of taken", shown(b.limit))
+            } else {
+                format!("{} {}", shown(b.limit), b.unit)
+            };
+            let over: u64 = b.over.values().sum();
+            let why: Vec<String> = b.over.iter().map(|(why, n)| format!("{why} {n}")).collect();
+            let over = if over > 0 { format!("{over}: {}", why.join(", ")) } else { "-".into() };
+            let row = [
+                b.name.clone(),
+                agent.into(),
+                scope,
+                span(b.window_s),
+                limit,
+                shown(b.part),
+                shown(b.used),
+                over,
+            ];
+            table.add_row(row);
+        }
+        text += &format!("\n{table}\n");
+    }
+    let headings = [
+        "from",
+        "to",
+        "lane",
+        "build",
+        "deliveries",
+        "never ran",
+        "withdrawn",
+        "spoilt",
+        "half",
+        "second",
+        "further",
+        "over",
+        "bytes out",
+        "bytes in",
+        "cost",
+        "adds ms",
+        "p50 ms",
+        "p99 ms",
+    ];
+    let mut table = table(&headings);
+    for n in 4..headings.len() {
+        table.column_mut(n).into_iter().for_each(|c| c.set_cell_alignment(CellAlignment::Right));
+    }
+    let rows = if builds { d.links.clone() } else { d.by_lane() };
+    for l in &rows {
+        let time = |part| d.quantile_ms(l, part).map_or("-".to_owned(), |ms| format!("{ms:.1}"));
+        let build = match (builds, l.build) {
+            (false, _) => "all".to_owned(),
+            (_, 0) => "gone".to_owned(),
+            (_, n) => n.to_string(),
+        };
+        let adds = if l.compared > 0 { format!("{:.1}", l.added_ms) } else { "-".into() };
+        table.add_row([
+            l.from.clone(),
+            l.to.clone(),
+            l.lane.clone(),
+            build,
+            l.deliveries.to_string(),
+            l.never_ran.to_string(),
+            ended(l, "withdrawn"),
+            l.spoilt.to_string(),
+            l.half.to_string(),
+            l.second_copies.to_string(),
+            l.further.to_string(),
+            l.over_all().to_string(),
+            l.bytes_out.to_string(),
+            l.bytes_in.to_string(),
+            shown(l.cost),
+            adds,
+            time(0.5),
+            time(0.99),
+        ]);
+    }
+    text + &format!("\n{table}\n")
+}
+
+fn table(headings: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(headings);
+    table
+}
+
+fn ended(l: &LinkLine, how: &str) -> String {
+    l.ended.get(how).copied().unwrap_or_default().to_string()
+}
+
+fn shown(n: f64) -> String {
+    if n == n.trunc() && n.abs() < 1e15 {
+        format!("{n:.0}")
+    } else if n.abs() < 0.001 {
+        format!("{n:.3e}")
+    } else {
+        format!("{n:.4}")
+    }
+}
+
+fn span(seconds: f64) -> String {
+    let units = [(86_400.0, "d"), (3600.0, "h"), (60.0, "m"), (1.0, "s")];
+    let unit = units.into_iter().find(|(s, _)| seconds >= *s && seconds % s == 0.0);
+    unit.map_or_else(|| format!("{seconds} s"), |(s, u)| format!("{:.0} {u}", seconds / s))
+}
--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -1,18 +1,20 @@
 //! One delivery: a connection, the statement written, the answer heard.
 
 use crate::agent::Agent;
+use crate::memory::border::Meter;
 use crate::memory::list::Target;
 use crate::memory::pools::Held;
-use crate::wire::connection::Connection;
+use crate::wire::connection::{Connection, Traffic};
 use crate::wire::postgres::{self, Hearing, Verdict};
 use crate::wire::statement::Statement;
 use crate::wire::Malformed;
 use futures_lite::FutureExt;
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::Outcome;
+use tulipwall_zones::{Flaw, Opening};
 
 /// How soon the rest of an answer that has begun must come.
 const REST_WITHIN: Duration = Duration::from_millis(500);
@@ -26,13 +28,13 @@
     pub held: Option<Rc<()>>,
 }
 
-/// Runs one delivery to its end; the messages of the value where there is one. `written` tells once all of it
-/// went out. Dropping it closes its connection, which withdraws it.
+/// Runs one delivery to its end; the messages of the value where there is one. `meter` tells once all of it
+/// went out, and what went over its sockets. Dropping it closes its connection, which withdraws it.
 pub async fn deliver(
     agent: &Agent,
     statement: &Statement,
     order: Order,
-    written: &Cell<bool>,
+    meter: &Meter,
 ) -> (Outcome, Vec<u8>) {
     let none = |outcome| (outcome, Vec::new());
     let mut held = loop {
@@ -43,6 +45,7 @@
                 Err(outcome) => return none(outcome),
             },
         };
+        meter.on(held.connection.traffic.clone());
         // It may have waited for its connection: nothing goes out that would be decided otherwise by now.
         let listed = agent.target(order.target.appliance) == Some(order.target);
         if !listed || !agent.hand.stands(order.target.build, order.turn) {
@@ -63,13 +66,13 @@
         (if reused { &agent.counters.reused } else { &agent.counters.opened }).add();
         break held;
     };
-    written.set(true);
+    meter.written.set(true);
     agent.counters.sent.add();
     let mut hearing = Hearing::default();
     let ended = hear(agent, &mut held.connection, &mut hearing).await;
     // A spoilt answer says nothing, not even that the command never ran.
     let outcome = match (&ended, hearing.verdict) {
-        (Err(Heard::Garbage(_)), _) | (_, None) => Outcome::Broken,
+        (Err(Heard::Garbage(_) | Heard::Half), _) | (_, None) => Outcome::Broken,
         (_, Some(Verdict::Value)) => Outcome::Satisfied,
         (_, Some(Verdict::Failed)) => Outcome::Failed,
         (_, Some(Verdict::TurnedAway)) => Outcome::TurnedAway,
@@ -79,17 +82,30 @@
         Ok(()) if held.connection.inbox.is_empty() => agent.keep(order.target, held),
         Ok(()) => agent.counters.unasked.add(),
         Err(Heard::Garbage(m)) => {
+            meter.flaw.set(Flaw::Spoilt);
             agent.counters.spoilt.add();
             let name = agent.appliance_name(order.target.appliance);
             log::debug!("appliance {name}: {m}; its connection is closed");
         }
+        Err(Heard::Half) => {
+            meter.flaw.set(Flaw::Half);
+            agent.counters.spoilt.add();
+        }
+        Err(Heard::End)
+            if outcome == Outcome::Broken && (hearing.begun() || !held.connection.inbox.is_empty()) =>
+        {
+            meter.flaw.set(Flaw::Half);
+        }
         Err(Heard::End) => {}
     }
     (outcome, hearing.value)
 }
 
 enum Heard {
+    /// The connection ended.
     End,
+    /// An answer stopped short of its end, and the connection did not.
+    Half,
     Garbage(Malformed),
 }
 
@@ -118,7 +134,7 @@
         let got = if begun {
             let late = async {
                 agent.until(agent.clock.now() + REST_WITHIN).await;
-                Err(Heard::Garbage(Malformed("an answer without its end".into())))
+                Err(Heard::Half)
             };
             more.or(late).await?
         } else {
@@ -143,8 +159,10 @@
         agent.until(agent.clock.now() + agent.site.connect_within).await;
         Err(Outcome::NoConnection)
     };
+    let toll = Toll { agent, target, begun: agent.clock.now(), traffic: RefCell::default() };
     let opening = async {
         let mut connection = Connection::open(target.address).await.map_err(|_| Outcome::NoConnection)?;
+        *toll.traffic.borrow_mut() = Some(connection.traffic.clone());
         let startup = postgres::startup("worker", "catalog");
         connection.write(&startup).await.map_err(|_| Outcome::NoConnection)?;
         let mut hearing = Hearing::default();
@@ -155,7 +173,35 @@
             _ => Err(Outcome::NoConnection),
         }
     };
-    opening.or(late).await.map(|connection| Held::new(connection, slot))
+    let opened = opening.or(late).await.map(|connection| Held::new(connection, slot));
+    if opened.is_ok() {
+        toll.charge(true);
+    }
+    opened
+}
+
+/// What opening a connection takes, accounted for also where it is given up halfway.
+struct Toll<'a> {
+    agent: &'a Agent,
+    target: Target,
+    begun: Duration,
+    traffic: RefCell<Option<Rc<Traffic>>>,
+}
+
+impl Toll<'_> {
+    fn charge(&self, open: bool) {
+        let Some(traffic) = self.traffic.take() else { return };
+        let ((out, back), now) = (traffic.charge(), self.agent.clock.now());
+        let took = open.then(|| now.saturating_sub(self.begun));
+        let Target { zone, build, .. } = self.target;
+        self.agent.border.opened(now, Opening { to: zone, build, out, back, took });
+    }
+}
+
+impl Drop for Toll<'_> {
+    fn drop(&mut self) {
+        self.charge(false);
+    }
 }
 
 /// Opens connections ahead of the first commands: all at once these would wait for as many handshakes.
--- a/crates/agent/src/lifecycle/life.rs
+++ b/crates/agent/src/lifecycle/life.rs
@@ -72,7 +72,7 @@
     pub fn heard(&self) {
         self.awaited.set(self.awaited.get().saturating_sub(1));
         if self.awaited.get() == 0 && self.phase.get() == Phase::Renewing {
-            log::info!("phase: {:?}", Phase::Serving);
+            log::info!(phase:? = Phase::Serving; "phase: {:?}", Phase::Serving);
             self.phase.set(Phase::Serving);
         }
     }
@@ -80,7 +80,7 @@
     /// Goes on to a later phase; back only from a new configuration.
     pub fn reach(&self, phase: Phase) {
         if phase > self.phase.get() {
-            log::info!("phase: {phase:?}");
+            log::info!(phase:?; "phase: {phase:?}");
             self.phase.set(phase);
             self.changed.notify(usize::MAX);
             if phase >= Phase::Closing {
--- a/crates/agent/src/lifecycle/signals.rs
+++ b/crates/agent/src/lifecycle/signals.rs
@@ -1,7 +1,7 @@
 //! What the operator asks for by signals: the counters, a new configuration, the end.
 
 use super::life::{Phase, LEAST_EXPIRY, LEAVING};
-use super::start::Start;
+use super::start::{Files, Start};
 use crate::agent::Agent;
 use crate::reactor::Timer;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -33,16 +33,18 @@
 
 /// SIGUSR1 prints the counters, SIGHUP reads the configuration again, also on the way out; SIGTERM takes the
 /// program through its last phases.
-pub async fn obey(agent: &Agent, signals: Signals) {
+pub async fn obey(agent: &Agent, signals: Signals, files: &Files) {
     let mut asked = None;
     loop {
         if signals.usr1.swap(false, Ordering::Relaxed) {
             log::info!("{}; {}", agent.counters, agent.kept());
         }
         if signals.hup.swap(false, Ordering::Relaxed) {
-            match Start::read() {
+            match Start::read(files) {
                 Ok(start) => agent.renew(start),
-                Err(fault) => log::error!("{fault}; the configuration read before stays"),
+                Err(faults) => faults
+                    .iter()
+                    .for_each(|fault| log::error!("{fault}; the configuration read before stays")),
             }
         }
         let now = agent.clock.now();
--- a/crates/agent/src/lifecycle/start.rs
+++ b/crates/agent/src/lifecycle/start.rs
@@ -4,7 +4,18 @@
 use crate::wire::platform::{self, Told};
 use serde_json::Value;
 use std::net::SocketAddr;
-use tulipwall_deployment::{Instance, Site};
+use std::path::{Path, PathBuf};
+use tulipwall_deployment::{Door, Installation, Instance, LogForm, Mistake, Site};
+use tulipwall_zones::Zoning;
+
+/// Which files are read.
+#[derive(Clone, Debug, Default)]
+pub struct Files {
+    /// The platform's; PROXY_CONFIG names it otherwise.
+    pub configuration: Option<PathBuf>,
+    /// The installation's own; none where none is named.
+    pub installation: Option<PathBuf>,
+}
 
 pub struct Start {
     pub name: String,
@@ -16,14 +27,25 @@
     pub known: Option<Listing>,
     pub news: Option<Told>,
     pub site: Site,
+    pub log: Option<LogForm>,
+    pub door: Option<Door>,
+    pub zoning: Option<Zoning>,
 }
 
 impl Start {
-    /// Reads the file that PROXY_CONFIG names.
-    pub fn read() -> Result<Start, String> {
-        let path = std::env::var("PROXY_CONFIG").map_err(|_| "variable PROXY_CONFIG: missing")?;
-        let bytes = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-        Start::parse(&bytes).map_err(|e| format!("{path}: {e}"))
+    /// Reads the files; every mistake in them otherwise, a line each.
+    pub fn read(files: &Files) -> Result<Start, Vec<String>> {
+        let variable = || std::env::var_os("PROXY_CONFIG").map(PathBuf::from);
+        let Some(path) = files.configuration.clone().or_else(variable) else {
+            return Err(vec!["variable PROXY_CONFIG: missing".into()]);
+        };
+        let bytes = std::fs::read(&path).map_err(|e| vec![format!("{}: {e}", path.display())])?;
+        let start = Start::parse(&bytes).map_err(|e| vec![format!("{}: {e}", path.display())])?;
+        let Some(path) = &files.installation else { return Ok(start) };
+        let installation = read_installation(path)?;
+        let named = |mistakes| named(path, mistakes);
+        let zoning = installation.zoning(&start.site).map_err(named)?;
+        Ok(Start { log: installation.log, door: installation.door, zoning, ..start })
     }
 
     pub fn parse(bytes: &[u8]) -> Result<Start, String> {
@@ -33,6 +55,17 @@
         let news = i.news.as_ref().map(platform::told).transpose();
         let news = news.map_err(|e| format!("deployer.news: {e}"))?;
         let Instance { name, listen, discovery, platform, sockets, memory, site, .. } = i;
-        Ok(Start { name, listen, discovery, platform, sockets, memory, known, news, site })
+        let (log, door, zoning) = (None, None, None);
+        Ok(Start { name, listen, discovery, platform, sockets, memory, known, news, site, log, door, zoning })
     }
 }
+
+/// Reads an installation's file; every mistake in it otherwise, with file, line and column.
+pub fn read_installation(path: &Path) -> Result<Installation, Vec<String>> {
+    let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{}: {e}", path.display())])?;
+    Installation::read(&text).map_err(|mistakes| named(path, mistakes))
+}
+
+fn named(path: &Path, mistakes: Vec<Mistake>) -> Vec<String> {
+    mistakes.into_iter().map(|m| format!("{}:{m}", path.display())).collect()
+}
--- /dev/null
+++ b/crates/agent/src/memory/border.rs
@@ -0,0 +1,152 @@
+//! What crosses between zones, where the installation says something of them: the one owner of `Zones`, and the
+//! meters that follow each delivery and each new connection on its socket.
+
+use crate::wire::connection::Traffic;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tulipwall::{Crossings, Outcome, Room};
+use tulipwall_zones::{Ended, Flaw, Line, Names, Opening, Place, Sending, Ticket, Wall, Zones, Zoning};
+
+/// How often a budget that is spent is written of.
+const NOTED_EVERY: Duration = Duration::from_secs(10);
+
+#[derive(Default)]
+pub struct Border {
+    zones: RefCell<Option<Zones>>,
+    names: RefCell<Names>,
+    since: Cell<Duration>,
+    noted: RefCell<BTreeMap<String, (Duration, u64)>>, // by budget: when, and how many were over by then
+}
+
+impl Border {
+    pub fn new(now: Duration, zoning: Option<Zoning>, names: Names) -> Border {
+        Border {
+            zones: RefCell::new(zoning.map(|z| Zones::new(now, z))),
+            names: RefCell::new(names),
+            since: Cell::new(now),
+            noted: RefCell::default(),
+        }
+    }
+
+    /// Whether anything is accounted for.
+    pub fn watches(&self) -> bool {
+        self.zones.borrow().is_some()
+    }
+
+    /// Goes on under an installation read anew. The account and what is spent stay as long as there is one.
+    pub fn renew(&self, now: Duration, zoning: Option<Zoning>) -> Result<(), &'static str> {
+        let mut zones = self.zones.borrow_mut();
+        match (zones.as_mut(), zoning) {
+            (Some(z), Some(zoning)) => return z.renew(now, zoning),
+            (None, Some(zoning)) => {
+                *zones = Some(Zones::new(now, zoning));
+                self.since.set(now);
+            }
+            (_, None) => *zones = None,
+        }
+        Ok(())
+    }
+
+    pub fn taken(&self, now: Duration, lane: usize) {
+        if let Some(z) = self.zones.borrow_mut().as_mut() {
+            z.taken(now, lane);
+        }
+    }
+
+    pub fn sent(&self, now: Duration, sending: Sending, rooms: impl FnOnce() -> Vec<Room>) -> Option<Ticket> {
+        self.zones.borrow_mut().as_mut().map(|z| z.sent(now, sending, rooms))
+    }
+
+    /// A delivery has ended: what its meter read goes into the account.
+    pub fn ended(
+        &self,
+        now: Duration,
+        ticket: Option<&Ticket>,
+        meter: &Meter,
+        outcome: Outcome,
+        took: Duration,
+    ) {
+        if let (Some(ticket), Some(z)) = (ticket, self.zones.borrow_mut().as_mut()) {
+            let (out, back) = meter.read();
+            let (written, flaw) = (meter.written.get(), meter.flaw.get());
+            z.ended(now, ticket, &Ended { outcome, flaw, written, out, back, took });
+        }
+    }
+
+    pub fn opened(&self, now: Duration, opening: Opening) {
+        if let Some(z) = self.zones.borrow_mut().as_mut() {
+            z.opened(now, &opening);
+        }
+    }
+
+    pub fn step(&self, now: Duration, rooms: impl FnOnce(usize) -> Vec<Room>) {
+        if let Some(z) = self.zones.borrow_mut().as_mut() {
+            let all = z.zoning().all();
+            z.step(now, &rooms(all));
+            self.note(now, z);
+        }
+    }
+
+    /// A line for each budget that deliveries went over, with why; none for a single command.
+    fn note(&self, now: Duration, zones: &Zones) {
+        let mut noted = self.noted.borrow_mut();
+        for p in zones.purses().purses() {
+            let (at, before) = noted.get(&p.budget.name).copied().unwrap_or_default();
+            if p.over() <= before || now < at + NOTED_EVERY {
+                continue;
+            }
+            let why = tulipwall_zones::Reason::ALL.into_iter().filter(|r| p.over_for(*r) > 0);
+            let why: Vec<String> = why.map(|r| format!("{} {}", r.word(), p.over_for(r))).collect();
+            log::warn!(budget = p.budget.name.as_str(), over = p.over(), used = p.used(), part = p.limit();
+                "zones: budget '{}' is spent; {} deliveries went over it since the start: {}",
+                p.budget.name, p.over(), why.join(", "));
+            noted.insert(p.budget.name.clone(), (now, p.over()));
+        }
+        noted.retain(|name, _| zones.purses().purses().iter().any(|p| p.budget.name == *name));
+    }
+
+    /// What crossing means now, if that has changed.
+    pub fn crossings(&self) -> Option<Crossings> {
+        self.zones.borrow_mut().as_mut().and_then(Zones::crossings)
+    }
+
+    pub fn alive(&self, builds: impl FnOnce() -> BTreeSet<u32>) {
+        if let Some(z) = self.zones.borrow_mut().as_mut() {
+            z.alive(&builds());
+        }
+    }
+
+    /// The next lines of the report and where it goes on; nothing where there is no account.
+    pub fn lines(&self, now: Duration, unix: Duration, place: Place) -> Option<(Vec<Line>, Place)> {
+        let wall = Wall { now, unix, since: self.since.get() };
+        self.zones.borrow().as_ref().map(|z| z.lines(&self.names.borrow(), wall, place))
+    }
+}
+
+/// What one delivery does on its sockets, also when it is dropped halfway.
+#[derive(Default)]
+pub struct Meter {
+    /// All of the statement went out.
+    pub written: Cell<bool>,
+    pub flaw: Cell<Flaw>,
+    before: Cell<(u64, u64)>,
+    on: RefCell<Option<Rc<Traffic>>>,
+}
+
+impl Meter {
+    /// It goes on on this connection.
+    pub fn on(&self, traffic: Rc<Traffic>) {
+        self.before.set(self.read());
+        *self.on.borrow_mut() = Some(traffic);
+    }
+
+    /// Bytes written and read since its beginning. Each byte of a connection is charged once.
+    pub fn read(&self) -> (u64, u64) {
+        let (out, back) = self.on.borrow_mut().take().map_or((0, 0), |t| t.charge());
+        let before = self.before.get();
+        self.before.set((before.0 + out, before.1 + back));
+        self.before.get()
+    }
+}
--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -41,6 +41,7 @@
     pub news: Count,
     pub votes: Count,
     pub platform_ends: Count,
+    pub door_dropped: Count, // readers of the operators' door that did not read
 }
 
 const OUTCOMES: [&str; 8] =
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -93,6 +93,25 @@
         self.choice.borrow_mut().news(news);
     }
 
+    /// Whether this build is on trial, as far as the news go.
+    pub fn on_trial(&self, build: u32) -> bool {
+        let news = self.news.borrow();
+        news.as_ref().is_some_and(|n| build > n.build || build == n.build && n.phase != Phase::Released)
+    }
+
+    /// The newest build that the platform told of.
+    pub fn newest(&self) -> Option<u32> {
+        self.news.borrow().as_ref().map(|n| n.build)
+    }
+
+    pub fn crossings(&self, told: Crossings) {
+        self.choice.borrow_mut().crossings(told);
+    }
+
+    pub fn rooms(&self, zones: usize) -> Vec<Room> {
+        self.choice.borrow().rooms(self.clock.now(), zones)
+    }
+
     /// What the news stood at when a delivery was decided.
     pub fn turn(&self) -> u64 {
         self.turns.get()
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -11,6 +11,7 @@
 struct Kept {
     id: String,
     address: SocketAddr,
+    zone: usize,
     build: u32,
     standing: Standing,
     held: Rc<()>, // by each delivery to it
@@ -30,6 +31,7 @@
 pub struct Target {
     pub appliance: usize,
     pub address: SocketAddr,
+    pub zone: usize,
     pub build: u32,
 }
 
@@ -40,18 +42,19 @@
         self.version = told.version;
         let (mut listed, mut stale, mut named) = (Vec::new(), Vec::new(), BTreeSet::new());
         for e in told.entries {
-            let Some(appliance) = self.number_for(&e) else { continue };
+            // A zone that the settings do not know is nobody's own.
+            let zone = site.zone(&e.zone).unwrap_or(site.zones.len());
+            let Some(appliance) = self.number_for(&e, zone) else { continue };
             named.insert(appliance);
             let kept = &mut self.kept[appliance];
-            let same = kept.address == e.address && kept.build == e.build;
+            let same = (kept.address, kept.zone, kept.build) == (e.address, zone, e.build);
             if !same || e.standing != Standing::Running {
                 stale.push(appliance);
             }
-            (kept.address, kept.build, kept.standing) = (e.address, e.build, e.standing);
+            (kept.address, kept.zone, kept.build, kept.standing) = (e.address, zone, e.build, e.standing);
             listed.push(Listed {
                 appliance,
-                // A zone that the settings do not know is nobody's own.
-                zone: site.zone(&e.zone).unwrap_or(site.zones.len()),
+                zone,
                 cell: e.cell,
                 build: e.build,
                 standing: e.standing,
@@ -69,7 +72,7 @@
     }
 
     /// The number that it has or gets now; none for what went without being known.
-    fn number_for(&mut self, e: &Entry) -> Option<usize> {
+    fn number_for(&mut self, e: &Entry, zone: usize) -> Option<usize> {
         if let Some(known) = self.numbers.get(&e.id) {
             return Some(*known);
         }
@@ -79,7 +82,7 @@
         let free = |k: &Kept| k.standing == Standing::Gone && Rc::strong_count(&k.held) == 1;
         let number = self.kept.iter().position(free).unwrap_or(self.kept.len());
         let (id, address, build, standing) = (e.id.clone(), e.address, e.build, e.standing);
-        let kept = Kept { id, address, build, standing, held: Rc::default() };
+        let kept = Kept { id, address, zone, build, standing, held: Rc::default() };
         match self.kept.get_mut(number) {
             Some(old) => drop(self.numbers.remove(&std::mem::replace(old, kept).id)),
             None => self.kept.push(kept),
@@ -88,6 +91,11 @@
         Some(number)
     }
 
+    /// The builds of all that is not gone.
+    pub fn builds(&self) -> BTreeSet<u32> {
+        self.kept.iter().filter(|k| k.standing != Standing::Gone).map(|k| k.build).collect()
+    }
+
     /// How many appliances are kept.
     pub fn len(&self) -> usize {
         self.kept.len()
@@ -122,6 +130,6 @@
     /// Where to reach it now, while it runs.
     pub fn target(&self, appliance: usize) -> Option<Target> {
         let k = self.kept.get(appliance).filter(|k| k.standing == Standing::Running)?;
-        Some(Target { appliance, address: k.address, build: k.build })
+        Some(Target { appliance, address: k.address, zone: k.zone, build: k.build })
     }
 }
--- /dev/null
+++ b/crates/agent/src/program.rs
@@ -0,0 +1,157 @@
+//! The agent as a program: its tasks, from the listener to the last answer.
+
+use crate::agent::Agent;
+use crate::lifecycle::life::Phase;
+use crate::lifecycle::signals::{self, Signals};
+use crate::lifecycle::start::{Files, Start};
+use crate::memory::pools::Slot;
+use crate::reactor::{self, Source, Timer};
+use crate::wire::connection::Connection;
+use crate::{client, delivery, discovery, door, logs, platform};
+use futures_lite::future::{self, FutureExt};
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+use tulipwall_deployment::LogForm;
+
+/// How soon to look again for a free descriptor.
+const ROOM_AGAIN: Duration = Duration::from_millis(20);
+
+/// Runs one agent until it is told to leave; whether it ended as it should. `form` is that of its log, where the
+/// installation's own does not count.
+pub fn run(files: Files, form: Option<LogForm>) -> bool {
+    let read = Signals::new().map_err(|e| vec![format!("signals: {e}")]);
+    let read = read.and_then(|signals| Ok((signals, Start::read(&files)?)));
+    let told = read.as_ref().ok().and_then(|(_, start)| start.log);
+    logs::begin(form.or(told).unwrap_or(LogForm::Text));
+    let (signals, start) = match read {
+        Ok(both) => both,
+        Err(faults) => {
+            faults.iter().for_each(|fault| log::error!("{fault}"));
+            return false;
+        }
+    };
+    log::info!(agent = start.name.as_str(), address:% = start.listen;
+        "{}: listening on {}", start.name, start.listen);
+    let opening = start.door.clone();
+    let agent = Agent::start(start);
+    let run = async {
+        let listener = TcpListener::bind(agent.listen)
+            .map_err(|e| io::Error::new(e.kind(), format!("field listen: {}: {e}", agent.listen)))?;
+        listener.set_nonblocking(true)?;
+        let listener = Rc::new(Source::new(listener)?);
+        let opened = opening.as_ref().map(door::open).transpose();
+        let opened = opened.map_err(|e| io::Error::new(e.kind(), format!("door: {e}")))?;
+        let door = opened.map(|listening| {
+            let a = agent.clone();
+            agent.tasks.spawn(async move { door::run(&a, listening).await })
+        });
+        let a = agent.clone();
+        agent.tasks.spawn(async move { discovery::run(&a).await }).detach();
+        let a = agent.clone();
+        agent.tasks.spawn(async move { platform::run(&a).await }).detach();
+        let a = agent.clone();
+        agent.tasks.spawn(async move { watch(&a).await }).detach();
+        let a = agent.clone();
+        agent.tasks.spawn(async move { signals::obey(&a, signals, &files).await }).detach();
+        let a = agent.clone();
+        let ready = async move {
+            delivery::warm(&a).await;
+            a.life.reach(Phase::Serving);
+        };
+        agent.tasks.spawn(ready).detach();
+        let (a, l) = (agent.clone(), listener.clone());
+        let accepting = agent.tasks.spawn(async move { accept(&a, &l).await });
+        agent.life.reached(Phase::Closing).await;
+        accepting.cancel().await.transpose()?;
+        drain(&agent, &listener);
+        drop(listener);
+        agent.life.reached(Phase::Stopped).await;
+        if let Some(door) = door {
+            // Its socket's file goes with it.
+            door.cancel().await;
+        }
+        Ok::<(), io::Error>(())
+    };
+    let outcome = reactor::run(&agent.tasks, run).and_then(|outcome| outcome);
+    log::info!("{}; {}", agent.counters, agent.kept());
+    outcome.inspect_err(|fault| log::error!("{fault}")).is_ok()
+}
+
+/// Takes clients in. Without a free descriptor the client that was idle for longest is asked to go, and who
+/// comes before there is room is denied at once. Guards against commands that are lost in the queue of
+/// connections, which count as taken; a short rush beyond the limit is denied, too.
+async fn accept(agent: &Rc<Agent>, listener: &Source<TcpListener>) -> io::Result<()> {
+    loop {
+        let mut slot = agent.sockets.client();
+        let beyond = if slot.is_none() { agent.sockets.beyond() } else { None };
+        if agent.sockets.clients_crowd() {
+            agent.life.make_room(agent.clock.now());
+        }
+        if slot.is_none() && beyond.is_none() {
+            agent.sockets.client_gone().or(Timer::after(ROOM_AGAIN)).await;
+            continue;
+        }
+        match listener.read(|| Connection::accept(listener.get())).await {
+            Ok(client) => {
+                slot = slot.or_else(|| agent.sockets.client());
+                match (slot, beyond) {
+                    (Some(slot), _) => welcome(agent, client, slot),
+                    (None, Some(slot)) => {
+                        agent.counters.clients_denied.add();
+                        agent.tasks.spawn(client::deny(agent.clone(), client, slot)).detach();
+                    }
+                    (None, None) => {}
+                }
+            }
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(e) => {
+                log::warn!("accept: {e}");
+                agent.make_room();
+                Timer::after(ROOM_AGAIN).await;
+            }
+        }
+        // One at a time: those that are in have their turn first.
+        future::yield_now().await;
+    }
+}
+
+fn welcome(agent: &Rc<Agent>, client: Connection, slot: Slot) {
+    agent.counters.clients.add();
+    agent.tasks.spawn(client::serve(agent.clone(), client, slot)).detach();
+}
+
+/// Takes in those that had connected before the listener closes: their commands count as taken.
+fn drain(agent: &Rc<Agent>, listener: &Source<TcpListener>) {
+    while let Some(slot) = agent.sockets.client() {
+        let Ok(client) = Connection::accept(listener.get()) else { break };
+        welcome(agent, client, slot);
+    }
+}
+
+/// Asks the module what is due, when it says so.
+async fn watch(agent: &Agent) {
+    let mut swept = Duration::ZERO;
+    loop {
+        // What came in while this agent stood still is told first, in its order.
+        future::yield_now().await;
+        let due = agent.hand.wait();
+        if due.watch {
+            agent.watch_due.set(true);
+            agent.watch.notify(1);
+        }
+        let now = agent.clock.now();
+        if let Some(vote) = due.vote {
+            *agent.vote.borrow_mut() = Some((vote, now));
+            agent.voted.notify(1);
+        }
+        agent.look_at_zones();
+        due.notes.iter().for_each(|note| log::info!("{note}"));
+        if now >= swept + Duration::from_secs(1) {
+            agent.sweep();
+            swept = now;
+        }
+        agent.until(due.until).await;
+    }
+}
--- a/crates/agent/src/wire/connection.rs
+++ b/crates/agent/src/wire/connection.rs
@@ -6,11 +6,30 @@
 use std::cell::Cell;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::time::Instant;
 
+/// Bytes that went over one connection, and those of them that are accounted for.
+#[derive(Default)]
+pub struct Traffic {
+    out: Cell<u64>,
+    back: Cell<u64>,
+    charged: Cell<(u64, u64)>,
+}
+
+impl Traffic {
+    /// Bytes written and read since this was asked last.
+    pub fn charge(&self) -> (u64, u64) {
+        let (all, before) = ((self.out.get(), self.back.get()), self.charged.get());
+        self.charged.set(all);
+        (all.0 - before.0, all.1 - before.1)
+    }
+}
+
 pub struct Connection {
     source: Source<TcpStream>,
     pub inbox: Buffer,
+    pub traffic: Rc<Traffic>,
     /// When something last came in.
     pub heard: Instant,
 }
@@ -19,7 +38,8 @@
     fn new(stream: TcpStream) -> io::Result<Connection> {
         // An answer must not wait for more to fill a segment; a socket that cannot do this still serves.
         let _ = stream.set_nodelay(true);
-        Ok(Connection { source: Source::new(stream)?, inbox: Buffer::default(), heard: Instant::now() })
+        let (source, inbox, traffic) = (Source::new(stream)?, Buffer::default(), Rc::default());
+        Ok(Connection { source, inbox, traffic, heard: Instant::now() })
     }
 
     pub async fn open(address: SocketAddr) -> io::Result<Connection> {
@@ -64,6 +84,7 @@
             source.drained();
         }
         self.heard = Instant::now();
+        self.traffic.back.set(self.traffic.back.get() + *got.as_ref().unwrap_or(&0) as u64);
         got
     }
 
@@ -77,6 +98,7 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => 0,
                 outcome => outcome?,
             };
+            self.traffic.out.set(self.traffic.out.get() + wrote as u64);
             bytes = &bytes[wrote..];
         }
         Ok(())
--- /dev/null
+++ b/crates/agent/tests/zones.rs
@@ -0,0 +1,354 @@
+//! Traffic across zones on sockets: what the agent accounts for against what the stand-ins counted at their end.
+
+use rustix::process::Signal;
+use serde_json::Value;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Output};
+use std::thread;
+use std::time::{Duration, Instant};
+use tulipwall_standins::ground::{until, SOON};
+use tulipwall_standins::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_tulipwall-agent");
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn lanes() -> Vec<Lane> {
+    let lane = Lane::new;
+    vec![lane("view", "repeatable", 3.0), lane("send", "by_key", 3.0), lane("payment", "once", 9.0)]
+}
+
+/// Two zones, three appliances in each, the far ones 8 ms away.
+fn world(near: Ways, far: Ways) -> World {
+    let world = World::new(&["akl-east", "akl-west"], lanes()).unwrap();
+    for n in 0..3 {
+        world.appliance(0, &format!("e-{n}"), 41, near.clone()).unwrap();
+        world.appliance(1, &format!("w-{n}"), 41, far.clone()).unwrap();
+    }
+    world.link(0, 1, Link { there: ms(3), back: ms(5), cut: false });
+    world
+}
+
+/// An agent in akl-east with this said of zones, and its door.
+struct Agent {
+    program: Program,
+    door: String,
+}
+
+fn start(world: &World, zones: &str) -> Agent {
+    let door = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let configuration = world.configuration("n1", 0).unwrap();
+    let file =
+        std::env::temp_dir().join(format!("tulipwall-{}-{}.kdl", std::process::id(), door.replace(':', "-")));
+    std::fs::write(&file, text(&door, zones)).unwrap();
+    let program =
+        Program::start(BINARY, configuration, &["run", "--installation", file.to_str().unwrap()]).unwrap();
+    let agent = Agent { program, door };
+    Caller::connect(agent.program.address().unwrap()).unwrap();
+    agent
+}
+
+fn text(door: &str, zones: &str) -> String {
+    format!("door \"{door}\"\nzones {{\n    routing \"near-first\"\n{zones}\n}}\n")
+}
+
+impl Agent {
+    fn address(&self) -> SocketAddr {
+        self.program.address().unwrap()
+    }
+
+    fn file(&self) -> std::path::PathBuf {
+        let name = format!("tulipwall-{}-{}.kdl", std::process::id(), self.door.replace(':', "-"));
+        std::env::temp_dir().join(name)
+    }
+
+    /// The installation says this of zones from now on.
+    fn renew(&self, zones: &str) {
+        std::fs::write(self.file(), text(&self.door, zones)).unwrap();
+        self.program.signal(Signal::HUP).unwrap();
+    }
+
+    fn ask(&self, more: &[&str]) -> Output {
+        Command::new(BINARY).arg("report").arg(&self.door).args(more).output().unwrap()
+    }
+
+    fn report(&self) -> Value {
+        let asked = self.ask(&["--json"]);
+        assert!(asked.status.success(), "{}", String::from_utf8_lossy(&asked.stderr));
+        serde_json::from_slice(&asked.stdout).unwrap()
+    }
+
+    /// The sum of a field over all builds.
+    fn sum(report: &Value, to: &str, lane: &str, field: &str) -> u64 {
+        let rows = report["links"].as_array().unwrap().iter();
+        let ours = rows.filter(|l| l["to"] == to && l["lane"] == lane);
+        ours.map(|l| l[field].as_u64().unwrap()).sum()
+    }
+
+    fn over(report: &Value, why: &str) -> u64 {
+        let rows = report["links"].as_array().unwrap().iter();
+        rows.filter_map(|l| l["over"][why].as_u64()).sum()
+    }
+
+    fn load(&self, rate: f64, span: Duration) -> Load {
+        let lane = |name: &str, weight, keyed| (name.to_owned(), weight, ms(1500), keyed);
+        Load {
+            agent: self.address(),
+            rate,
+            span,
+            lanes: vec![lane("view", 4.0, false), lane("send", 4.0, true), lane("payment", 1.0, false)],
+            connections: 64,
+            seed: 7,
+        }
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(self.file());
+    }
+}
+
+/// Within a hundredth, or two.
+fn same(reported: u64, counted: u64, what: &str) {
+    let most = (counted as f64 * 0.01).max(2.0);
+    assert!(reported.abs_diff(counted) as f64 <= most, "{what}: {reported} reported, {counted} counted");
+}
+
+fn compare(agent: &Agent, world: &World) -> Value {
+    // What is still out, such as second copies, ends first.
+    thread::sleep(ms(300));
+    let report = agent.report();
+    for (to, zone) in world.zones.iter().enumerate() {
+        let counted = world.counted(0, to);
+        for lane in ["view", "send", "payment"] {
+            let c = counted.get(lane).copied().unwrap_or_default();
+            let what = format!("{lane} to {zone}");
+            same(Agent::sum(&report, zone, lane, "deliveries"), c.deliveries, &format!("{what}: deliveries"));
+            // A byte of a lane is a small part: its hundredth is taken of the lane.
+            same(Agent::sum(&report, zone, lane, "bytes_out"), c.read, &format!("{what}: bytes out"));
+            same(Agent::sum(&report, zone, lane, "bytes_in"), c.written, &format!("{what}: bytes in"));
+        }
+        let c = counted.get(appliance::CONNECTIONS).copied().unwrap_or_default();
+        let lane = "(connections)";
+        same(
+            Agent::sum(&report, zone, lane, "bytes_out"),
+            c.read,
+            &format!("connections to {zone}: bytes out"),
+        );
+        same(
+            Agent::sum(&report, zone, lane, "bytes_in"),
+            c.written,
+            &format!("connections to {zone}: bytes in"),
+        );
+    }
+    report
+}
+
+#[test]
+fn what_is_reported_is_what_was_counted_on_every_link_and_lane() {
+    let near = Ways { work: ms(4), cores: 1, value: 300, ..Ways::default() };
+    let world = world(near, Ways { work: ms(4), value: 300, ..Ways::default() });
+    let agent = start(&world, "");
+    // More than near can bear, so that some of it crosses.
+    let answered = agent.load(900.0, Duration::from_secs(3)).play();
+    assert_eq!(answered.unanswered, 0, "{:?}", answered.lost);
+    let report = compare(&agent, &world);
+    assert!(Agent::sum(&report, "akl-west", "view", "deliveries") > 50);
+    let far =
+        report["links"].as_array().unwrap().iter().find(|l| l["to"] == "akl-west" && l["lane"] == "view");
+    assert!(far.unwrap()["compared"].as_u64().unwrap() > 50);
+}
+
+#[test]
+fn what_is_reported_is_what_was_counted_while_things_fail() {
+    let bad = vec![
+        (Act::Fails, 0.04),
+        (Act::TurnsAway, 0.04),
+        (Act::Resets, 0.02),
+        (Act::Half, 0.02),
+        (Act::HalfEnds, 0.02),
+        (Act::Garbage, 0.02),
+        (Act::Twice, 0.03),
+        (Act::Silent, 0.01),
+    ];
+    let ways = Ways { work: ms(3), value: 500, now_and_then: bad, ..Ways::default() };
+    let world = world(ways.clone(), ways);
+    let agent = start(&world, "    budget \"all\" { deliveries 100; window \"1s\"; }");
+    let load = agent.load(400.0, Duration::from_secs(4)).begin();
+    thread::sleep(ms(1500));
+    world.state(0, "terminating");
+    let answered = futures_lite::future::block_on(load);
+    assert_eq!(answered.unanswered, 0, "{:?}", answered.lost);
+    assert!(world.ran_twice("payment").is_empty(), "{:?}", world.ran_twice("payment"));
+    thread::sleep(ms(700));
+    let report = compare(&agent, &world);
+    for kind in ["spoilt", "half", "never_ran", "further"] {
+        let all = report["links"].as_array().unwrap().iter().map(|l| l[kind].as_u64().unwrap()).sum::<u64>();
+        assert!(all > 3, "{kind}: {all}");
+    }
+    assert!(Agent::over(&report, "drained") > 100, "{}", report["heads"]);
+}
+
+#[test]
+fn all_near_drain_in_a_burst_with_the_budget_spent_and_every_command_is_answered() {
+    let ways = Ways { work: ms(5), ..Ways::default() };
+    let world = world(ways.clone(), ways);
+    let agent = start(&world, "    budget \"none\" { deliveries 0; window \"10s\"; }");
+    let load = agent.load(500.0, Duration::from_secs(3)).begin();
+    thread::sleep(ms(1500));
+    let before = world.counted(0, 1);
+    let crossed: u64 = before.values().map(|c| c.deliveries).sum();
+    assert!(crossed <= 2, "{crossed} went over while near had room");
+    let drained = Instant::now();
+    world.state(0, "terminating");
+    let answered = futures_lite::future::block_on(load);
+    assert_eq!((answered.unanswered, answered.answered()), (0, answered.asked), "{:?}", answered.lost);
+    assert!(answered.satisfied as f64 > 0.98 * answered.asked as f64, "{answered:?}");
+    assert!(world.ran_twice("payment").is_empty());
+    let late: usize = world
+        .of_zone(0)
+        .iter()
+        .map(|(_, a)| a.seen().iter().filter(|s| s.at > drained + ms(250)).count())
+        .sum();
+    assert_eq!(late, 0, "sent to a draining appliance");
+    let report = agent.report();
+    assert!(Agent::over(&report, "drained") > 400, "{}", report["heads"]);
+    let head = &report["heads"][0]["budgets"][0];
+    assert!(head["over"]["drained"].as_u64().unwrap() > 400);
+    let table = String::from_utf8(agent.ask(&[]).stdout).unwrap();
+    assert!(table.contains("drained") && table.contains("akl-west"), "{table}");
+    assert!(agent.program.log().contains("budget 'none' is spent"), "{}", agent.program.log());
+}
+
+#[test]
+fn a_budget_lowered_by_a_new_configuration_holds_at_once_and_the_account_survives() {
+    let near = Ways { work: ms(10), cores: 1, ..Ways::default() };
+    let world = world(near, Ways { work: ms(10), ..Ways::default() });
+    let agent = start(&world, "    budget \"b\" { deliveries 100000; window \"3s\"; }");
+    let load = agent.load(450.0, Duration::from_secs(5)).begin();
+    let crossed = || world.counted(0, 1).values().map(|c| c.deliveries).sum::<u64>();
+    assert!(until(|| crossed() > 100));
+    let before = Agent::sum(&agent.report(), "akl-west", "view", "deliveries");
+    assert!(before > 10);
+    // A faulty file is named and changes nothing.
+    agent.renew("    budget \"b\" { deliveries -1; windw \"3s\"; }");
+    assert!(until(|| agent.program.log().contains("did you mean 'window'?")), "{}", agent.program.log());
+    assert_eq!(agent.report()["heads"][0]["budgets"][0]["limit"], 100000.0);
+    agent.renew("    budget \"b\" { deliveries 10; window \"3s\"; }");
+    assert!(until(|| agent.report()["heads"][0]["budgets"][0]["limit"] == 10.0));
+    let report = agent.report();
+    let budget = &report["heads"][0]["budgets"][0];
+    assert!(budget["used"].as_f64().unwrap() > 10.0, "what was spent stays spent: {budget}");
+    assert!(Agent::sum(&report, "akl-west", "view", "deliveries") >= before);
+    assert_eq!(futures_lite::future::block_on(load).unanswered, 0);
+}
+
+#[test]
+fn a_reader_that_stops_reading_is_dropped_and_slows_nothing() {
+    let ways = Ways { work: ms(2), ..Ways::default() };
+    let world = world(ways.clone(), ways);
+    let agent = start(&world, "");
+    let answered = agent.load(300.0, ms(800)).play();
+    assert_eq!(answered.unanswered, 0);
+    let readers: Vec<TcpStream> = (0..12)
+        .map(|n| {
+            let mut reader = TcpStream::connect(&agent.door).unwrap();
+            // Some ask and do not read, some ask half, some say what is no question.
+            let asks: [&[u8]; 4] = [b"GET /zones HTTP/1.1\r\n\r\n", b"GET /zo", b"\xff\0\xff\r\n\r\n", b""];
+            reader.write_all(asks[n % 4]).unwrap();
+            reader
+        })
+        .collect();
+    let answered = agent.load(300.0, ms(1000)).play();
+    assert_eq!((answered.unanswered, answered.denied), (0, 0));
+    assert!(answered.quantile_ms(0.99) < 400.0, "{}", answered.quantile_ms(0.99));
+    drop(readers);
+    assert!(until(|| agent.ask(&[]).status.success()), "the door serves again");
+    let mut other = TcpStream::connect(&agent.door).unwrap();
+    other.set_read_timeout(Some(SOON)).unwrap();
+    other.write_all(b"POST / HTTP/1.1\r\n\r\n").unwrap();
+    let mut heard = String::new();
+    other.read_to_string(&mut heard).unwrap();
+    assert!(heard.starts_with("HTTP/1.1 405"), "{heard}");
+}
+
+#[test]
+fn the_door_is_a_unix_socket_too_and_a_plot_and_a_log_of_json_are_written() {
+    let ways = Ways { work: ms(6), cores: 1, ..Ways::default() };
+    let world = world(ways.clone(), ways);
+    let folder = std::env::temp_dir().join(format!("tulipwall-unix-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (socket, file, svg) = (folder.join("door"), folder.join("i.kdl"), folder.join("p.svg"));
+    let door = format!("unix:{}", socket.display());
+    let price = "    link \"akl-east\" \"akl-west\" { price delivery=0.001 out-gib=0.02; delay \"8ms\"; }";
+    let budgets = "    budget \"m\" { to \"akl-west\"; money 5; window \"20s\"; }";
+    std::fs::write(&file, format!("log \"json\"\n{}", text(&door, &format!("{price}\n{budgets}")))).unwrap();
+    let arguments = ["run", "--installation", file.to_str().unwrap()];
+    let mut program = Program::start(BINARY, world.configuration("n1", 0).unwrap(), &arguments).unwrap();
+    Caller::connect(program.address().unwrap()).unwrap();
+    let mut agent = Agent { program, door };
+    assert_eq!(agent.load(600.0, ms(2500)).play().unanswered, 0);
+    let drawn = agent.ask(&["--svg", svg.to_str().unwrap()]);
+    assert!(drawn.status.success(), "{}", String::from_utf8_lossy(&drawn.stderr));
+    let picture = std::fs::read_to_string(&svg).unwrap();
+    assert!(
+        picture.starts_with("<svg") && picture.contains("akl-east to akl-west") && picture.contains("budget")
+    );
+    for line in agent.program.log().lines() {
+        let line: Value = serde_json::from_str(line).unwrap_or_else(|e| panic!("{e}: {line}"));
+        assert!(line["text"].is_string() && line["level"].is_string(), "{line}");
+    }
+    assert!(agent.program.log().contains("\"phase\":\"Serving\""));
+    agent.program.terminate().unwrap();
+    assert!(agent.program.ended_well().unwrap());
+    assert!(!socket.exists(), "the socket's file goes with the program");
+    assert_eq!(agent.ask(&[]).status.code(), Some(3), "no report can be had");
+    program = Program::start(BINARY, agent.program.configuration.clone(), &arguments).unwrap();
+    Caller::connect(program.address().unwrap()).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn check_names_all_mistakes_with_line_column_and_key() {
+    let folder = std::env::temp_dir().join(format!("tulipwall-check-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (file, config) = (folder.join("i.kdl"), folder.join("c.json"));
+    let world = World::new(&["akl-east", "akl-west"], lanes()).unwrap();
+    std::fs::write(&config, world.configuration("n1", 0).unwrap().to_string()).unwrap();
+    let check = |text: &str, more: &[&str]| {
+        std::fs::write(&file, text).unwrap();
+        let mut check = Command::new(BINARY);
+        check.env_remove("PROXY_CONFIG").arg("check").arg(&file).args(more);
+        let out = check.output().unwrap();
+        (out.status.code(), String::from_utf8(out.stderr).unwrap(), String::from_utf8(out.stdout).unwrap())
+    };
+    let good =
+        "zones {\n    budget \"b\" { to \"akl-west\"; lane \"view\"; share 0.05; window \"1h\"; }\n}\n";
+    let (code, _, said) = check(good, &["--config", config.to_str().unwrap()]);
+    assert_eq!(code, Some(0));
+    assert!(said.contains("1 limits"), "{said}");
+    let names = good.replace("akl-west", "akl-wets").replace("view", "vieuw");
+    let (code, said, _) = check(&names, &["--config", config.to_str().unwrap()]);
+    assert_eq!(code, Some(1));
+    assert!(
+        said.contains("i.kdl:2:18: to: no zone 'akl-wets'") && said.contains("lane: no lane 'vieuw'"),
+        "{said}"
+    );
+    let (code, _, said) = check(&names, &[]);
+    assert_eq!(code, Some(0));
+    assert!(said.contains("--config FILE checks them"), "{said}");
+    let (code, said, _) = check("zonse { }\nlog \"xml\"\ndoor \"0.0.0.0:80\"\n", &[]);
+    assert_eq!(code, Some(1));
+    let wanted =
+        ["i.kdl:1:1: zonse: unknown in the file; did you mean 'zones'?", "i.kdl:2:1: log: one of text, json"];
+    assert!(
+        wanted.iter().all(|w| said.contains(w)) && said.contains("i.kdl:3:1: door: a loopback"),
+        "{said}"
+    );
+    assert_eq!(Command::new(BINARY).arg("chekc").output().unwrap().status.code(), Some(2));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
