Account kept flat by link and lane, over-budget crossings apart; benchmark and measurement

Need: the account's share of a decision, and figures for docs/zones.md that a command gives again. Cause: rows were looked up four times a command in ordered maps; what had to cross used the purse up, so that all of it counted as over though a budget of a tenth was there. Change: rows by link and lane in one vector, no division while a bin lasts, bars looked at when a purse passes one; crossings that had to be are not spent, so by choice each window gets what the budget gives.

--- /dev/null
+++ b/crates/zones/benches/decision.rs
@@ -0,0 +1,32 @@
+//! What one command costs in decisions: taken, placed, its outcome told, without zones and with them.
+//!
+//!     cargo bench -p tulipwall-zones
+
+use criterion::{criterion_group, criterion_main, Criterion, Throughput};
+mod agent;
+
+use agent::Agent;
+/// Commands in one sample: as many as an agent takes in a tenth of a second, so that what is done ten times a
+/// second is a part of it.
+const EACH: u64 = 300;
+
+fn decisions(c: &mut Criterion) {
+    for (zones, lanes, appliances) in [(2, 3, 40), (8, 20, 500)] {
+        let mut group = c.benchmark_group(format!("{zones} zones, {lanes} lanes, {appliances} appliances"));
+        group.throughput(Throughput::Elements(EACH));
+        for (name, zoned, told) in
+            [("without", false, false), ("told of crossing", false, true), ("with the account", true, false)]
+        {
+            let mut agent = match told {
+                true => Agent::told(zones, lanes, appliances),
+                false => Agent::new(zones, lanes, appliances, zoned),
+            };
+            (0..6000).for_each(|_| agent.command());
+            group.bench_function(name, |b| b.iter(|| (0..EACH).for_each(|_| agent.command())));
+        }
+        group.finish();
+    }
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/zones/examples/measure.rs
@@ -0,0 +1,289 @@
+//! The figures of `docs/zones.md`: the same simulated days with the program as it was before zones and with them.
+//!
+//!     cargo run --release -p tulipwall-zones --example measure
+
+#[path = "../benches/agent/mod.rs"]
+mod agent;
+
+use agent::Agent;
+use std::time::{Duration, Instant};
+use tulipwall::*;
+use tulipwall_standins::day::{Caller, Change, Day, Node, Played};
+use tulipwall_zones::*;
+
+const SEEDS: std::ops::Range<u64> = 1..6;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn s(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn deployment() -> Deployment {
+    let lane = |quoted, benefit, repeats| Lane { quoted: ms(quoted), benefit, repeats };
+    let keyed = Repeats::Deduplicated { group: Group::All, window: s(3) };
+    Deployment {
+        seed: 0,
+        agents: 3,
+        zone: 0,
+        lanes: vec![
+            lane(400, 3.0, Repeats::Idempotent),
+            lane(400, 3.5, keyed),
+            lane(750, 9.0, Repeats::Unrepeatable),
+        ],
+        customers: Vec::new(),
+        benefit_by_work: false,
+        list_asked: false,
+        ask_within: s(10),
+        second_copies: true,
+        withdraw: true,
+        come_back: Some(s(2)),
+        deliveries: 5,
+        crossing_price: 0.04,
+        cold_share: 0.3,
+        cold_for: s(4),
+        fall_for: s(2),
+        tick: ms(1),
+        rollout: Rollout {
+            caps: vec![0.08, 0.25, 0.6, 1.0],
+            free: 2.0,
+            by_lane: false,
+            guarded_stages: 0,
+            one_way: false,
+            by_clock: true,
+            in_place: false,
+            back_votes: 1,
+            vote_life: s(10),
+            vote_wait: ms(800),
+            votes_per_s: 100.0,
+            flagged_share: 0.3,
+        },
+    }
+}
+
+fn zoning(own: usize, budgets: Vec<Budget>) -> Zoning {
+    Zoning {
+        own,
+        zones: 2,
+        lanes: deployment().lanes.iter().map(|l| LaneView { benefit: l.benefit, quoted: l.quoted }).collect(),
+        links: vec![Link::default(); 3],
+        budgets,
+        routing: Routing::NearFirst,
+    }
+}
+
+/// Three agents, two in zone 0 and one in zone 1; six appliances of four cores in each zone; a way of 2 ms.
+fn day(seed: u64, zoned: bool, script: Vec<(Duration, Change)>, span: u64) -> Day {
+    let (same, cross) = (Duration::from_micros(150), ms(2));
+    let agent = |zone, part| Caller { zone, part, zoning: zoned.then(|| zoning(zone, Vec::new())) };
+    Day {
+        deployment: deployment(),
+        agents: vec![agent(0, 1.0), agent(0, 0.5), agent(1, 1.0)],
+        nodes: (0..12).map(|i| Node::new(i / 6, 41, 4)).collect(),
+        ways: vec![vec![same, cross, cross], vec![cross, same, cross], vec![cross, cross, same]],
+        work: vec![ms(20), ms(20), ms(30)],
+        lanes: vec![(0.45, ms(1500)), (0.45, ms(1500)), (0.1, ms(2000))],
+        rate: 1200.0,
+        span: s(span),
+        news: Some(News { build: 41, stage: 0, phase: Phase::Released, cap: 1.0, began: Duration::ZERO }),
+        script,
+        seed,
+    }
+}
+
+fn calm() -> Vec<(Duration, Change)> {
+    Vec::new()
+}
+
+/// Three of the six near appliances vanish without a word for 20 s, then are delisted, then return cold.
+fn half_lost() -> Vec<(Duration, Change)> {
+    let mut script: Vec<_> = (0..3).map(|n| (s(10), Change::Mutes(n, true))).collect();
+    script.extend((0..3).map(|n| (s(20), Change::Lists(n, Standing::Gone))));
+    script.extend((0..3).map(|n| (s(35), Change::Starts(n))));
+    script
+}
+
+/// Zone 0 is slower by ten times in each other second, for 30 s.
+fn flapping() -> Vec<(Duration, Change)> {
+    let slow = |n: u64| if n % 2 == 0 { 10.0 } else { 1.0 };
+    (0..30).flat_map(|n| (0..6).map(move |i| (s(10 + n), Change::Slows(i, slow(n))))).collect()
+}
+
+/// All of zone 0 drains in one second, and returns cold fifteen seconds later.
+fn drained() -> Vec<(Duration, Change)> {
+    let mut script: Vec<_> =
+        (0..6).map(|n| (ms(10_000 + n as u64 * 100), Change::Lists(n, Standing::Draining))).collect();
+    script.extend((0..6).map(|n| (s(25), Change::Starts(n))));
+    script
+}
+
+/// What crosses, and what that gives, as means over the seeds with the least and the most of p99.
+fn days() {
+    let kinds: [(&str, fn() -> Vec<(Duration, Change)>); 4] = [
+        ("calm", calm),
+        ("near half lost", half_lost),
+        ("flapping", flapping),
+        ("drained, back cold", drained),
+    ];
+    println!("| day | program | crossing | in time | p50 ms | p99 ms (least to most) | turns a minute | broken rules |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (name, script) in kinds {
+        for zoned in [false, true] {
+            let played: Vec<Played> = SEEDS.map(|seed| day(seed, zoned, script(), 50).play()).collect();
+            let mean = |of: &dyn Fn(&Played) -> f64| played.iter().map(of).sum::<f64>() / played.len() as f64;
+            let p99: Vec<f64> = played.iter().map(|p| p.quantile_ms(0.99)).collect();
+            println!(
+                "| {name} | {} | {:.3} | {:.4} | {:.1} | {:.1} ({:.1} to {:.1}) | {:.1} | {} |",
+                if zoned { "with zones" } else { "before" },
+                mean(&Played::crossed),
+                mean(&|p| p.in_time as f64 / p.taken as f64),
+                mean(&|p| p.quantile_ms(0.5)),
+                mean(&|p| p.quantile_ms(0.99)),
+                p99.iter().copied().fold(f64::MAX, f64::min),
+                p99.iter().copied().fold(0.0, f64::max),
+                mean(&Played::turns_per_minute),
+                played.iter().map(|p| p.broken.len()).sum::<usize>(),
+            );
+        }
+    }
+}
+
+/// Ten agents from idle to two fifths of the load; the most that all of them spent by choice in any window.
+fn sums() {
+    let parts = [40.0, 20.0, 12.0, 10.0, 8.0, 5.0, 3.0, 1.5, 0.5, 0.0];
+    println!("\n| budget over all agents | window | most in any window, least to most over the seeds | over budget | answered |");
+    println!("| --- | --- | --- | --- | --- |");
+    for (limit, label) in
+        [(Limit::Deliveries(2000.0), "2000 deliveries"), (Limit::Share(0.1), "a tenth of what is taken")]
+    {
+        let played: Vec<Played> = SEEDS
+            .map(|seed| {
+                let mut d = day(seed, true, Vec::new(), 30);
+                d.nodes.truncate(8); // four near ones and two far: near cannot bear it
+                let budget =
+                    Budget { name: "all".into(), to: None, lane: None, limit, window: s(5), part: 0.1 };
+                d.agents = parts
+                    .map(|part| Caller { zone: 0, part, zoning: Some(zoning(0, vec![budget.clone()])) })
+                    .to_vec();
+                d.rate = 1300.0;
+                d.play()
+            })
+            .collect();
+        let most = |p: &Played| {
+            let mut all: Vec<Duration> =
+                p.crossings.iter().flatten().filter(|c| c.2.is_none()).map(|c| c.0).collect();
+            all.sort();
+            let (mut from, mut most) = (0, 0);
+            for to in 0..all.len() {
+                while all[from] + s(5) <= all[to] {
+                    from += 1;
+                }
+                most = most.max(to - from + 1);
+            }
+            match limit {
+                Limit::Share(_) => all.len() as f64 / p.taken as f64,
+                _ => most as f64,
+            }
+        };
+        let mosts: Vec<f64> = played.iter().map(most).collect();
+        let over: usize = played.iter().map(Played::over).sum();
+        let answered: u64 = played.iter().map(|p| p.taken - p.never).sum();
+        println!(
+            "| {label} | 5 s | {:.3} to {:.3} | {over} | {answered} of {} |",
+            mosts.iter().copied().fold(f64::MAX, f64::min),
+            mosts.iter().copied().fold(0.0, f64::max),
+            played.iter().map(|p| p.taken).sum::<u64>(),
+        );
+    }
+}
+
+/// Resident kilobytes of this process.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or_default()
+}
+
+/// Memory of an account of eight zones, twenty lanes and three builds, when each of its bins holds something.
+fn memory() {
+    let before = resident();
+    let z = Zoning {
+        zones: 8,
+        lanes: vec![LaneView { benefit: 1.0, quoted: ms(400) }; 20],
+        links: vec![Link::default(); 9],
+        ..zoning(0, vec![])
+    };
+    let mut zones = Zones::new(s(3600), z);
+    for step in 0..24 * 360u64 {
+        let now = s(3600 + step * 10);
+        for (to, lane) in (0..9).flat_map(|to| (0..20).map(move |lane| (to, lane))) {
+            // Builds follow one another by the hour; the last hour has three.
+            for build in [step / 360, step / 360 + 1, step / 360 + 2] {
+                let build = build as u32 + 1;
+                let sending =
+                    Sending { to, lane, build, nth: 0, second_copy: false, trial: false, bound: false };
+                let ticket = zones.sent(now, sending, Vec::new);
+                let took = Duration::from_micros(500 + (step * 7919 + lane as u64 * 131) % 900_000);
+                let end = Ended {
+                    outcome: Outcome::Satisfied,
+                    flaw: Flaw::None,
+                    written: true,
+                    out: 180,
+                    back: 420,
+                    took,
+                };
+                zones.ended(now, &ticket, &end);
+            }
+        }
+        if step % 360 == 0 {
+            let alive = (1..=3).map(|b| (step / 360 + b) as u32).collect();
+            zones.alive(&alive);
+        }
+    }
+    let rows = zones.account().rows().count();
+    println!(
+        "\nA day of 8 zones (and the unnamed), 20 lanes, 3 builds alive at a time: {rows} rows, {:.1} MB.",
+        (resident() - before) as f64 / 1024.0
+    );
+}
+
+/// What a command costs in decisions, in turns so that a machine whose speed drifts drifts for all: medians over
+/// rounds of 300 commands, and against the first.
+fn costs() {
+    println!("\n| size | without, ns | told of crossing | with the account |");
+    println!("| --- | --- | --- | --- |");
+    for (zones, lanes, appliances) in [(2, 3, 40), (8, 20, 500)] {
+        let mut agents = [
+            Agent::new(zones, lanes, appliances, false),
+            Agent::told(zones, lanes, appliances),
+            Agent::new(zones, lanes, appliances, true),
+        ];
+        let mut took = [const { Vec::new() }; 3];
+        for round in 0..1500 {
+            for (agent, took) in agents.iter_mut().zip(&mut took) {
+                let begun = Instant::now();
+                (0..300).for_each(|_| agent.command());
+                if round >= 50 {
+                    took.push(begun.elapsed().as_nanos() as f64 / 300.0);
+                }
+            }
+        }
+        let median = took.map(|mut t| {
+            t.sort_by(f64::total_cmp);
+            t[t.len() / 2]
+        });
+        let against = |n: usize| format!("{:+.1}%", (median[n] / median[0] - 1.0) * 100.0);
+        let size = format!("{zones} zones, {lanes} lanes, {appliances} appliances");
+        println!("| {size} | {:.0} | {} | {} |", median[0], against(1), against(2));
+    }
+}
+
+fn main() {
+    // First, while nothing that was freed is used again.
+    memory();
+    days();
+    sums();
+    costs();
+}
--- a/crates/zones/src/account.rs
+++ b/crates/zones/src/account.rs
@@ -1,10 +1,10 @@
 //! What crossed: by link, lane and build, in total and over time.
 
 use crate::route::Reason;
-use crate::series::Series;
+use crate::series::{Bin, Series};
+use crate::zones::Ticket;
 use hdrhistogram::Histogram;
-use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tulipwall::Outcome;
 
@@ -139,30 +139,48 @@
     pub took: Option<Duration>,
 }
 
+/// What is kept of one lane on one link, over all builds.
+#[derive(Debug)]
+struct Lane {
+    /// By build, which are few at a time.
+    rows: Vec<(u32, Row)>,
+    /// Minute bins of the last day.
+    day: Series,
+    delays: Option<Histogram<u32>>,
+}
+
+impl Lane {
+    fn row(&mut self, build: u32) -> &mut Row {
+        let n = match self.rows.iter().position(|(b, _)| *b >= build) {
+            Some(n) if self.rows[n].0 == build => n,
+            place => {
+                let n = place.unwrap_or(self.rows.len());
+                let row = Row { tally: Tally::default(), recent: Series::new(RECENT.0, RECENT.1) };
+                self.rows.insert(n, (build, row));
+                n
+            }
+        };
+        &mut self.rows[n].1
+    }
+}
+
 /// The account of one agent. What it keeps follows zones x lanes x builds alive, never customers or keys.
 #[derive(Debug)]
 pub struct Account {
     own: usize,
     lanes: usize,
-    rows: BTreeMap<Key, Row>,
-    /// Minute bins of the last day, by link and lane.
-    days: BTreeMap<(u16, u16), Series>,
-    delays: BTreeMap<(u16, u16), Histogram<u32>>,
+    zones: usize,
+    /// By zone and lane, the last of each zone for connections.
+    links: Vec<Option<Box<Lane>>>,
     taken: Vec<u64>,
     near: Vec<Option<f64>>, // the usual time of a near answer, in seconds
 }
 
 impl Account {
-    pub fn new(own: usize, lanes: usize) -> Account {
-        Account {
-            own,
-            lanes,
-            rows: BTreeMap::new(),
-            days: BTreeMap::new(),
-            delays: BTreeMap::new(),
-            taken: vec![0; lanes],
-            near: vec![None; lanes],
-        }
+    /// For an agent in zone `own` of so many zones with names.
+    pub fn new(own: usize, zones: usize, lanes: usize) -> Account {
+        let links = (0..(zones + 1) * (lanes + 1)).map(|_| None).collect();
+        Account { own, lanes, zones, links, taken: vec![0; lanes], near: vec![None; lanes] }
     }
 
     pub fn taken(&mut self, lane: usize) {
@@ -176,137 +194,134 @@
         self.lanes as u16
     }
 
-    fn key(&self, to: usize, lane: usize, build: u32) -> Key {
-        Key { to: to as u16, lane: lane.min(self.lanes) as u16, build }
+    fn place(&self, to: usize, lane: usize) -> usize {
+        to.min(self.zones) * (self.lanes + 1) + lane.min(self.lanes)
     }
 
-    fn row(&mut self, key: Key) -> &mut Row {
-        let new = || Row { tally: Tally::default(), recent: Series::new(RECENT.0, RECENT.1) };
-        self.rows.entry(key).or_insert_with(new)
+    fn lane(&mut self, to: usize, lane: usize) -> &mut Lane {
+        let place = self.place(to, lane);
+        let new = || Box::new(Lane { rows: Vec::new(), day: Series::new(DAY.0, DAY.1), delays: None });
+        self.links[place].get_or_insert_with(new)
     }
 
     /// A delivery was decided on.
     pub fn decided(&mut self, to: usize, lane: usize, build: u32, nth: usize, second_copy: bool) {
-        let key = self.key(to, lane, build);
-        let tally = &mut self.row(key).tally;
+        let tally = &mut self.lane(to, lane).row(build).tally;
         tally.decided += 1;
         tally.second_copies += u64::from(second_copy);
         tally.further += u64::from(nth > 0 && !second_copy);
     }
 
-    /// It ended; `cost` is what it cost by its link's price, `way` what that link is known to add.
-    #[allow(clippy::too_many_arguments)] // one delivery, its end and what it is set against
-    pub fn ended(
-        &mut self,
-        now: Duration,
-        to: usize,
-        lane: usize,
-        build: u32,
-        over: Option<Reason>,
-        e: &Ended,
-        cost: f64,
-    ) {
-        let (key, own) = (self.key(to, lane, build), self.own);
-        let took = e.took.as_secs_f64();
-        let usual = self.near.get(lane).copied().flatten();
-        if e.outcome == Outcome::Satisfied {
+    /// It ended; `over` says why where it went over a budget, `cost` what it cost by its link's price.
+    pub fn ended(&mut self, now: Duration, t: &Ticket, e: &Ended, cost: f64) {
+        let (own, took) = (self.own, e.took.as_secs_f64());
+        let usual = self.usual_near(t.lane);
+        let satisfied = e.outcome == Outcome::Satisfied;
+        if let (true, Some(near)) = (satisfied && t.to == own, self.near.get_mut(t.lane)) {
+            *near = Some(near.map_or(took, |n| n + (took - n) * FOLLOW));
+        }
+        let lane = self.lane(t.to, t.lane);
+        if satisfied {
             let micros = (e.took.as_micros() as u64).clamp(LEAST_MICROS, MOST_MICROS);
-            self.record(key, micros);
-            if to == own {
-                if let Some(near) = self.near.get_mut(lane) {
-                    *near = Some(near.map_or(took, |n| n + (took - n) * FOLLOW));
-                }
+            if lane.delays.is_none() {
+                // Two digits between these bounds are 10 KB, and bounds that the library always takes.
+                lane.delays = Histogram::new_with_bounds(LEAST_MICROS, MOST_MICROS, 2).ok();
             }
+            lane.delays.iter_mut().for_each(|h| h.saturating_record(micros));
         }
-        let row = self.row(key);
+        let row = lane.row(t.build);
         row.tally.ended[place(e.outcome)] += 1;
         row.tally.written += u64::from(e.written);
         row.tally.spoilt += u64::from(e.flaw == Flaw::Spoilt);
         row.tally.half += u64::from(e.flaw == Flaw::Half);
-        if let Some(reason) = over {
+        if let Some(reason) = t.over {
             row.tally.over[reason as usize] += 1;
         }
         row.tally.out += e.out;
         row.tally.back += e.back;
         row.tally.cost += cost;
-        if let (true, Some(usual)) = (e.outcome == Outcome::Satisfied && to != own, usual) {
+        if let (true, Some(usual)) = (satisfied && t.to != own, usual) {
             row.tally.added += took - usual;
             row.tally.compared += 1;
         }
-        let (deliveries, over) = (u32::from(e.written), u32::from(over.is_some()));
-        let day = self.days.entry((key.to, key.lane)).or_insert_with(|| Series::new(DAY.0, DAY.1));
-        let row = self.rows.get_mut(&key).map(|r| &mut r.recent);
-        for series in row.into_iter().chain([day]) {
-            let bin = series.bin(now);
-            bin.deliveries += deliveries;
-            bin.over += over;
+        let add = |bin: &mut Bin| {
+            bin.deliveries += u32::from(e.written);
+            bin.over += u32::from(t.over.is_some());
             bin.cost += cost as f32;
             bin.out += e.out;
             bin.back += e.back;
-        }
-    }
-
-    fn record(&mut self, key: Key, micros: u64) {
-        let at = (key.to, key.lane);
-        // Two digits between these bounds are 10 KB, and bounds that the library always takes.
-        let new = || Histogram::new_with_bounds(LEAST_MICROS, MOST_MICROS, 2);
-        match self.delays.entry(at) {
-            Entry::Occupied(mut h) => h.get_mut().saturating_record(micros),
-            Entry::Vacant(empty) => {
-                let Ok(mut h) = new() else { return };
-                h.saturating_record(micros);
-                empty.insert(h);
-            }
-        }
+        };
+        add(row.recent.bin(now));
+        add(lane.day.bin(now));
     }
 
     /// A connection was opened, or ended while nothing was out on it.
     pub fn opened(&mut self, now: Duration, o: &Opening, cost: f64) {
-        let key = self.key(o.to, self.lanes, o.build);
-        let day = self.days.entry((key.to, key.lane)).or_insert_with(|| Series::new(DAY.0, DAY.1));
-        let bin = day.bin(now);
-        (bin.out, bin.back, bin.cost) = (bin.out + o.out, bin.back + o.back, bin.cost + cost as f32);
-        let row = self.row(key);
+        let connections = self.lanes;
+        let lane = self.lane(o.to, connections);
+        let row = lane.row(o.build);
         row.tally.opened += u64::from(o.took.is_some());
         row.tally.out += o.out;
         row.tally.back += o.back;
         row.tally.cost += cost;
-        let bin = row.recent.bin(now);
-        (bin.out, bin.back, bin.cost) = (bin.out + o.out, bin.back + o.back, bin.cost + cost as f32);
+        let add = |bin: &mut Bin| {
+            (bin.out, bin.back, bin.cost) = (bin.out + o.out, bin.back + o.back, bin.cost + cost as f32);
+        };
+        add(row.recent.bin(now));
+        add(lane.day.bin(now));
     }
 
     /// Only these builds are alive: what the others' rows count goes into one of build 0.
     pub fn alive(&mut self, builds: &BTreeSet<u32>) {
-        let gone: Vec<Key> =
-            self.rows.keys().filter(|k| k.build != 0 && !builds.contains(&k.build)).copied().collect();
-        for key in gone {
-            let Some(old) = self.rows.remove(&key) else { continue };
-            let row = self.row(Key { build: 0, ..key });
-            row.tally.add(&old.tally);
-            row.recent.merge(&old.recent);
+        for lane in self.links.iter_mut().flatten() {
+            let gone = |(build, _): &mut (u32, Row)| *build != 0 && !builds.contains(build);
+            let old: Vec<(u32, Row)> = lane.rows.extract_if(.., gone).collect();
+            for (_, old) in old {
+                let row = lane.row(0);
+                row.tally.add(&old.tally);
+                row.recent.merge(&old.recent);
+            }
         }
     }
 
-    pub fn rows(&self) -> impl Iterator<Item = (&Key, &Row)> {
-        self.rows.iter()
+    /// All rows, by zone, lane and build.
+    pub fn rows(&self) -> impl Iterator<Item = (Key, &Row)> {
+        self.from(0)
+            .flat_map(|(to, lane, l)| l.rows.iter().map(move |(b, r)| (Key { to, lane, build: *b }, r)))
     }
 
-    /// The row at or after `from`, so that a reader may go through all while the account goes on.
-    pub fn next_row(&self, from: Key) -> Option<(Key, &Row)> {
-        self.rows.range(from..).next().map(|(k, r)| (*k, r))
+    /// What is kept by link and lane, from a place on.
+    fn from(&self, place: usize) -> impl Iterator<Item = (u16, u16, &Lane)> {
+        let width = self.lanes + 1;
+        let there = self.links.iter().enumerate().skip(place);
+        there.filter_map(move |(n, l)| Some(((n / width) as u16, (n % width) as u16, l.as_deref()?)))
     }
 
-    pub fn days(&self) -> impl Iterator<Item = (&(u16, u16), &Series)> {
-        self.days.iter()
+    /// The row at or after `from`, so that a reader may go through all while the account goes on.
+    pub fn next_row(&self, from: Key) -> Option<(Key, &Row)> {
+        let place = self.place(usize::from(from.to), usize::from(from.lane));
+        if usize::from(from.to) > self.zones {
+            return None;
+        }
+        self.from(place).find_map(|(to, lane, l)| {
+            let least = if (to, lane) == (from.to, from.lane) { from.build } else { 0 };
+            let (build, row) = l.rows.iter().find(|(b, _)| *b >= least)?;
+            Some((Key { to, lane, build: *build }, row))
+        })
     }
 
-    pub fn next_day(&self, from: (u16, u16)) -> Option<((u16, u16), &Series)> {
-        self.days.range(from..).next().map(|(k, s)| (*k, s))
+    /// The day's series at or after this link and lane.
+    pub fn next_day(&self, (to, lane): (u16, u16)) -> Option<((u16, u16), &Series)> {
+        if usize::from(to) > self.zones {
+            return None;
+        }
+        let place = usize::from(to) * (self.lanes + 1) + usize::from(lane);
+        self.from(place).next().map(|(to, lane, l)| ((to, lane), &l.day))
     }
 
     /// Times of satisfied answers over a link, by lane, in microseconds.
     pub fn delay(&self, to: u16, lane: u16) -> Option<&Histogram<u32>> {
-        self.delays.get(&(to, lane))
+        self.links[self.place(usize::from(to), usize::from(lane))].as_ref()?.delays.as_ref()
     }
 
     /// Commands taken, by lane.
--- a/crates/zones/src/budget.rs
+++ b/crates/zones/src/budget.rs
@@ -45,7 +45,10 @@
     pub budget: Budget,
     id: u32,
     bins: VecDeque<Spent>,
+    until: Duration, // the newest bin's end
     sum: (f64, f64), // spent and taken in the bins
+    /// What may be used until another lane has to stay near.
+    barred_at: f64,
     held: f64,       // reserved by deliveries that are out
     ranks: Vec<f64>, // by lane: 0 for most benefit for its cost, 1 for least
     over: u64,
@@ -59,7 +62,9 @@
             budget,
             id,
             bins: VecDeque::new(),
+            until: Duration::ZERO,
             sum: (0.0, 0.0),
+            barred_at: 0.0,
             held: 0.0,
             ranks: Vec::new(),
             over: 0,
@@ -116,8 +121,9 @@
     }
 
     fn roll(&mut self, now: Duration) -> &mut Spent {
-        let bin = self.bin(now);
-        if self.bins.back().is_none_or(|b| b.bin < bin) {
+        if now >= self.until || self.bins.is_empty() {
+            let bin = self.bin(now);
+            self.until = (self.budget.window / BINS) * (bin as u32).saturating_add(1);
             self.bins.push_back(Spent { bin, ..Spent::default() });
             while self.bins.front().is_some_and(|b| b.bin + u64::from(BINS) < bin) {
                 self.bins.pop_front();
@@ -167,6 +173,7 @@
     fn renew(&mut self, now: Duration, budget: Budget) {
         let width = self.budget.window / BINS;
         let old = std::mem::take(&mut self.bins);
+        self.until = Duration::ZERO;
         self.budget = budget;
         let last = self.bin(now);
         for b in old {
@@ -184,9 +191,19 @@
     }
 }
 
-/// What a delivery that is out has reserved.
+/// What a delivery that is out has reserved, and at which purses there was no room for it.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Reserved(Vec<(u32, f64)>);
+pub struct Reserved {
+    held: Vec<(u32, f64)>,
+    short: Vec<u32>,
+}
+
+impl Reserved {
+    /// Some budget was too short for it.
+    pub fn is_over(&self) -> bool {
+        !self.short.is_empty()
+    }
+}
 
 /// All budgets of one agent.
 #[derive(Clone, Debug)]
@@ -263,6 +280,31 @@
         }
     }
 
+    /// What each purse may use until another lane has to stay near; to be asked for whenever that may have
+    /// changed otherwise.
+    pub fn bars(&mut self) {
+        for n in 0..self.purses.len() {
+            let p = &self.purses[n];
+            let zones = (0..self.largest.len()).filter(|z| p.budget.to.is_none_or(|t| t == *z));
+            let lanes = (0..self.benefits.len()).filter(|l| p.covers_lane(*l));
+            let (used, limit) = (p.used(), p.limit());
+            let mut at = f64::INFINITY;
+            for (zone, lane) in zones.flat_map(|z| lanes.clone().map(move |l| (z, l))) {
+                let amount = p.amount(&self.estimate(zone, lane));
+                for again in [false, true] {
+                    let last = limit - p.reserve(lane, again) - amount;
+                    at = if last >= used { at.min(last) } else { at };
+                }
+            }
+            self.purses[n].barred_at = at;
+        }
+    }
+
+    /// Whether since then one has used so much that another lane has to stay near.
+    pub fn barred(&self) -> bool {
+        self.purses.iter().any(|p| p.used() > p.barred_at)
+    }
+
     /// What one more delivery may take.
     pub fn estimate(&self, to: usize, lane: usize) -> Spending {
         let largest = self.largest.get(to).and_then(|z| z.get(lane)).copied();
@@ -291,31 +333,29 @@
         !self.purses.iter().any(|p| p.covers(to, lane) && short(p))
     }
 
-    /// A delivery crosses. It reserves what it may take; `Err` with that where it goes over a limit.
-    pub fn reserve(&mut self, now: Duration, to: usize, lane: usize) -> Result<Reserved, Reserved> {
+    /// A delivery crosses. It reserves what it may take, wherever there is room for it.
+    pub fn reserve(&mut self, now: Duration, to: usize, lane: usize) -> Reserved {
         let takes = self.estimate(to, lane);
-        let (mut reserved, mut over) = (Vec::new(), false);
+        let mut reserved = Reserved::default();
         for p in self.purses.iter_mut().filter(|p| p.covers(to, lane)) {
             p.roll(now);
             let amount = p.amount(&takes);
-            over |= !p.fits(amount, 0.0);
-            p.held += amount;
-            reserved.push((p.id, amount));
-        }
-        if over {
-            Err(Reserved(reserved))
-        } else {
-            Ok(Reserved(reserved))
+            if p.fits(amount, 0.0) {
+                p.held += amount;
+                reserved.held.push((p.id, amount));
+            } else {
+                reserved.short.push(p.id);
+            }
         }
+        reserved
     }
 
-    /// It went over, for this reason: counted at each purse that was too short for it.
-    pub fn over(&mut self, to: usize, lane: usize, reason: Reason) {
-        for p in self.purses.iter_mut().filter(|p| p.covers(to, lane)) {
-            if p.used() > p.limit() * (1.0 + 1e-9) {
-                p.over += 1;
-                p.over_for[reason as usize] += 1;
-            }
+    /// It went over, for this reason: counted at each purse that was too short for it. It is not spent there,
+    /// so that what crosses by choice in any window is what the budget gives, whatever else had to cross.
+    pub fn over(&mut self, reserved: &Reserved, reason: Reason) {
+        for p in self.purses.iter_mut().filter(|p| reserved.short.contains(&p.id)) {
+            p.over += 1;
+            p.over_for[reason as usize] += 1;
         }
     }
 
@@ -333,7 +373,7 @@
             *l = ((l.0 * LARGEST_FADE).max(out as f64), (l.1 * LARGEST_FADE).max(back as f64));
         }
         let took = Spending { deliveries: deliveries as f64, bytes: (out + back) as f64, money };
-        for (id, amount) in &reserved.0 {
+        for (id, amount) in &reserved.held {
             let Some(p) = self.purses.iter_mut().find(|p| p.id == *id) else { continue };
             p.held = (p.held - amount).max(0.0);
             if p.held < 1e-9 {
--- a/crates/zones/src/series.rs
+++ b/crates/zones/src/series.rs
@@ -20,13 +20,14 @@
 pub struct Series {
     width: Duration,
     most: u32,
+    until: Duration, // the newest bin's end
     bins: VecDeque<Bin>,
 }
 
 impl Series {
     /// Keeps the last `most` spans of `width`.
     pub fn new(width: Duration, most: u32) -> Series {
-        Series { width, most, bins: VecDeque::new() }
+        Series { width, most, until: Duration::ZERO, bins: VecDeque::new() }
     }
 
     pub fn width(&self) -> Duration {
@@ -35,8 +36,14 @@
 
     /// The bin of this time, which drops those that are too old. A time before the newest bin's counts there.
     pub fn bin(&mut self, now: Duration) -> &mut Bin {
-        let at = (now.as_secs_f64() / self.width.as_secs_f64().max(1e-3)) as u32;
-        if self.bins.back().is_none_or(|b| b.at < at) {
+        if now >= self.until || self.bins.is_empty() {
+            let at = (now.as_micros() / self.width.as_micros().max(1)) as u32;
+            self.until = self.width * at.saturating_add(1);
+            let (held, most) = (self.bins.len(), self.most as usize + 1);
+            if held == self.bins.capacity() && held * 2 > most {
+                // Never more room than it may need: doubling would take up to twice that.
+                self.bins.reserve_exact(most.saturating_sub(held).max(1));
+            }
             self.bins.push_back(Bin { at, ..Bin::default() });
             while self.bins.front().is_some_and(|b| b.at + self.most <= at) {
                 self.bins.pop_front();
@@ -67,6 +74,7 @@
         });
         let newest = bins.last().map_or(0, |b| b.at);
         bins.retain(|b| b.at + self.most > newest);
+        self.until = self.until.max(other.until);
         self.bins = bins.into();
     }
 }
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -55,7 +55,7 @@
     pub fn new(now: Duration, zoning: Zoning) -> Zones {
         let stated = (0..zoning.all()).map(|z| zoning.link(z).delay).collect();
         Zones {
-            account: Account::new(zoning.own, zoning.lanes.len()),
+            account: Account::new(zoning.own, zoning.zones, zoning.lanes.len()),
             purses: Purses::new(now, &zoning),
             route: Route::new(zoning.own, zoning.routing, &zoning.lanes, stated),
             zoning,
@@ -96,23 +96,20 @@
         if to == self.zoning.own || self.purses.is_empty() {
             return ticket;
         }
-        self.due = true;
-        ticket.reserved = match self.purses.reserve(now, to, s.lane) {
-            Ok(reserved) => reserved,
-            Err(reserved) => {
-                let reason = match s {
-                    Sending { trial: true, .. } => Reason::Trial,
-                    Sending { bound: true, .. } => Reason::Group,
-                    _ => {
-                        let near = rooms().get(self.zoning.own).cloned().unwrap_or_default();
-                        Reason::of(&near, self.route.full(s.lane), s.nth)
-                    }
-                };
-                self.purses.over(to, s.lane, reason);
-                ticket.over = Some(reason);
-                reserved
-            }
-        };
+        ticket.reserved = self.purses.reserve(now, to, s.lane);
+        self.due |= self.purses.barred();
+        if ticket.reserved.is_over() {
+            let reason = match s {
+                Sending { trial: true, .. } => Reason::Trial,
+                Sending { bound: true, .. } => Reason::Group,
+                _ => {
+                    let near = rooms().get(self.zoning.own).cloned().unwrap_or_default();
+                    Reason::of(&near, self.route.full(s.lane), s.nth)
+                }
+            };
+            self.purses.over(&ticket.reserved, reason);
+            ticket.over = Some(reason);
+        }
         ticket
     }
 
@@ -123,7 +120,7 @@
             true => 0.0,
             false => self.purses.settle(now, (t.to, t.lane), &t.reserved, written, (e.out, e.back)),
         };
-        self.account.ended(now, t.to, t.lane, t.build, t.over, e, cost);
+        self.account.ended(now, t, e, cost);
         if e.outcome == Outcome::Satisfied {
             self.route.answered(now, t.to, t.lane, e.took);
         }
@@ -144,7 +141,7 @@
         self.route.step(now, rooms);
         self.purses.roll(now);
         if now >= self.ranked + RANK_EVERY {
-            (self.ranked, self.due) = (now, true);
+            self.ranked = now;
             self.purses.rank();
         }
         self.due = true;
@@ -155,6 +152,7 @@
         if !std::mem::take(&mut self.due) {
             return None;
         }
+        self.purses.bars();
         let zones = (0..self.zoning.all()).map(|zone| self.crossing(zone)).collect();
         let now = Crossings { zones, cold: self.route.cold() };
         if self.told.as_ref() == Some(&now) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -194,6 +194,8 @@
     /// the evidence on a build on trial, which its cap bounds.
     pub fn crossings(&mut self, told: Crossings) {
         self.crossings = told;
+        let own = self.crossings.zones.get_mut(self.at.zone);
+        own.into_iter().for_each(|c| *c = Crossing { draw: Some(1.0), ..Crossing::default() });
     }
 
     /// What each of so many zones holds now.
@@ -538,19 +540,21 @@
         let (near, all) = (count(&|a| a.zone == self.at.zone), count(&|_| true).max(1.0));
         let warm = count(&|a| a.cold_since.is_none()).max(all / 2.0);
         let carried = self.warm_sends.since(since) / warm * self.crossings.cold;
-        let told = |zone: usize| self.crossings.zones.get(zone).filter(|_| zone != self.at.zone);
-        let abroad = |zone: usize| told(zone).and_then(|t| t.draw).unwrap_or(self.load.abroad);
-        let side = |zone: usize| if zone == self.at.zone { 1.0 } else { abroad(zone) };
-        let fair = if self.crossings.zones.is_empty() {
-            (near + (all - near) * self.load.abroad) / all
-        } else {
-            self.running().map(|(_, a)| side(a.zone)).sum::<f64>() / all
+        let side = |zone: usize| match self.crossings.zones.get(zone) {
+            Some(Crossing { draw: Some(draw), .. }) => *draw,
+            _ if zone == self.at.zone => 1.0,
+            _ => self.load.abroad,
         };
         // Earlier appliances that go at the release leave their load to warm ones on trial, unless something
         // speaks against these. A bad build gets more of the late stages for it.
         let fresh: f64 =
             self.running().filter(|(_, a)| self.on_trial(a.build)).map(|(_, a)| self.at.ramp(now, a)).sum();
         let places = all - count(&|a| self.on_trial(a.build));
+        let fair = match () {
+            _ if self.crossings.zones.is_empty() => (near + (all - near) * self.load.abroad) / all,
+            _ if places < all => self.running().map(|(_, a)| side(a.zone)).sum::<f64>() / all,
+            _ => 1.0, // nothing is on trial
+        };
         let doubted = self.drag.resting || self.drag.falls > 0 || self.builds.values().any(|b| b.regressed);
         let yields =
             if self.at.in_place || doubted { 1.0 } else { (1.0 - fresh / places.max(1.0)).max(LEFT) };
@@ -581,7 +585,8 @@
                 trial && regressed && !idempotent || a.aside.is_some() && (!idempotent || a.in_flight > 0);
             // Where crossing is short it comes last of what can answer, but before what likely cannot. What is
             // on trial crosses as ever: no budget may leave its build unjudged.
-            let spared = !trial && told(a.zone).is_some_and(|t| t.spares(c.lane, again));
+            let told = self.crossings.zones.get(a.zone);
+            let spared = !trial && told.is_some_and(|t| t.spares(c.lane, again));
             let rank = match (resting || a.silent(now, patience), tried || second) {
                 (true, _) => 3,
                 (_, true) => 2,
