--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -91,6 +91,7 @@
         write!(f, "spoilt {} unasked {} ", n(&self.spoilt), n(&self.unasked))?;
         write!(f, "found_closed {}; lists: told {} ", n(&self.gone_idle), n(&self.lists))?;
         write!(f, "failed {}; platform: news {} ", n(&self.list_failures), n(&self.news))?;
-        write!(f, "votes {} ended {}", n(&self.votes), n(&self.platform_ends))
+        write!(f, "votes {} ended {}", n(&self.votes), n(&self.platform_ends))?;
+        write!(f, "; door: dropped {}", n(&self.door_dropped))
     }
 }
