Routing: what near bears is by its appliances of late; tests that fail without each guard

Cause: guards were taken out one by one; four went unnoticed. Looking why, two were at fault: the rate that near bears was divided by the appliances open at that moment, so half of near lost looked like twice borne; and the unnamed zone, which holds nothing, counted as the quickest of the far ones. Change: what was borne is set against the open appliances of late and against near's own best times; zones that hold nothing are not compared; no far appliance draws more than a near one. crates/zones/tests/route.rs holds a test for each. Replies with nothing told as before.

--- a/crates/zones/examples/measure.rs
+++ b/crates/zones/examples/measure.rs
@@ -107,7 +107,7 @@
 
 /// Zone 0 is slower by ten times in each other second, for 30 s.
 fn flapping() -> Vec<(Duration, Change)> {
-    let slow = |n: u64| if n % 2 == 0 { 10.0 } else { 1.0 };
+    let slow = |n: u64| if n.is_multiple_of(2) { 10.0 } else { 1.0 };
     (0..30).flat_map(|n| (0..6).map(move |i| (s(10 + n), Change::Slows(i, slow(n))))).collect()
 }
 
@@ -121,7 +121,9 @@
 
 /// What crosses, and what that gives, as means over the seeds with the least and the most of p99.
 fn days() {
-    let kinds: [(&str, fn() -> Vec<(Duration, Change)>); 4] = [
+    type Script = Vec<(Duration, Change)>;
+    type Kind = (&'static str, fn() -> Script);
+    let kinds: [Kind; 4] = [
         ("calm", calm),
         ("near half lost", half_lost),
         ("flapping", flapping),
--- a/crates/zones/src/route.rs
+++ b/crates/zones/src/route.rs
@@ -17,10 +17,12 @@
 const EASED: f64 = 1.02;
 /// Of the highest rate that near was seen to bear.
 const TRUSTED: f64 = 1.25;
-/// Its usual pace: no slower than this against its best of late.
-const AT_EASE: f64 = 1.3;
+/// Its usual pace: no slower than this against its best of late, which for a mean of long-tailed times lies low.
+const AT_EASE: f64 = 1.8;
 /// How fast the rate that it was seen to bear is forgotten: by half in five minutes of steps.
 const BORNE_FADE: f64 = 0.99977;
+/// How fast the number of its open appliances of late falls to what it is: by half in a second and a half.
+const OPEN_FADE: f64 = 0.955;
 /// Each step that near is full: the part that crosses grows by half, by this at least.
 const RISE: f64 = 1.5;
 const RISE_LEAST: f64 = 0.02;
@@ -123,6 +125,7 @@
     sent: f64,            // since the last step
     rate: f64,            // deliveries a second
     borne: f64,           // per open appliance, at its usual pace
+    open: f64,            // appliances of late: what was borne was borne by these
     opening: Option<f64>, // seconds to a new connection, the least of late
     draw: f64,
     /// Part of what is wanted to cross by the answers.
@@ -240,11 +243,13 @@
         let near = rooms.get(self.own).map_or(0.0, |r| r.open);
         let all: f64 = self.sides.iter().map(|s| s.rate).sum();
         let own = self.near_pace();
+        let ease = self.ease();
         let Some(side) = self.sides.get_mut(self.own) else { return };
         side.best = if side.best == 0.0 { own } else { (side.best * 1.0005).min(own) };
         side.borne *= BORNE_FADE;
-        if near > 0.0 && own <= side.best * AT_EASE {
-            side.borne = side.borne.max(side.rate / near);
+        side.open = (side.open * OPEN_FADE).max(near);
+        if near > 0.0 && ease <= AT_EASE {
+            side.borne = side.borne.max(side.rate / side.open);
         }
         let borne = side.borne;
         // What comes beyond what near was seen to bear, as a part of all.
@@ -256,19 +261,20 @@
         let ways: Vec<f64> = (0..self.sides.len()).map(|z| self.way(z)).collect();
         let here = self.own;
         let others = (0..ways.len()).filter(move |z| *z != here);
-        let best = others.clone().map(|z| ways[z]).fold(f64::MAX, f64::min);
+        let open = |z: usize| rooms.get(z).map_or(0.0, |r| r.open);
+        let best = others.clone().filter(|z| open(*z) > 0.0).map(|z| ways[z]).fold(f64::MAX, f64::min);
         for zone in others.clone() {
             self.feel(now, zone, own, ways[zone], near > 0.0);
         }
         // Of several far sides the quicker ones draw more, by the fourth power.
-        let liking = |z: usize| (best / ways[z]).powi(4);
-        let open = |z: usize| rooms.get(z).map_or(0.0, |r| r.open);
+        let liking = |z: usize| (best / ways[z]).min(1.0).powi(4);
         let weight: f64 = others.clone().map(|z| open(z) * liking(z)).sum();
         for zone in others {
-            let part = self.sides[zone].felt.max(beyond).min(0.999);
-            let wanted = part / (1.0 - part) * near / weight.max(1e-9);
-            let full = near <= 0.0;
-            self.sides[zone].draw = (liking(zone) * if full { 1.0 } else { wanted }).clamp(1e-4, 1.0);
+            let part = self.sides[zone].felt.max(beyond).min(0.98);
+            let wanted = if near > 0.0 { part / (1.0 - part) * near / weight.max(1e-9) } else { 1.0 };
+            // No far appliance draws more than a near one: it has its own zone's load. Without this bound near
+            // that flaps drove the other zone into overload (0.31 to 0.64 crossing, p99 393 to 728 ms).
+            self.sides[zone].draw = (liking(zone) * wanted.min(1.0)).max(1e-4);
         }
     }
 
@@ -305,6 +311,17 @@
         }
     }
 
+    /// Near answers against their best of late, in the mean over lanes.
+    fn ease(&self) -> f64 {
+        let of = |l: &Pace| l.near.filter(|_| l.least > 0.0).map(|near| near / l.least);
+        let all: Vec<f64> = self.lanes.iter().filter_map(of).collect();
+        if all.is_empty() {
+            1.0
+        } else {
+            all.iter().sum::<f64>() / all.len() as f64
+        }
+    }
+
     fn near_pace(&self) -> f64 {
         self.sides.get(self.own).and_then(|s| s.pace).map_or(1.0, |(p, _)| p)
     }
@@ -321,7 +338,8 @@
         best + added
     }
 
-    /// What an appliance of this zone draws against a near one; `None` where the decisions' own figure holds.
+    /// What an appliance of this zone draws against a near one, 0 to 1; `None` where the decisions' own figure
+    /// holds.
     pub fn draw(&self, zone: usize) -> Option<f64> {
         let near_first = self.routing == Routing::NearFirst && zone != self.own;
         near_first.then(|| self.sides.get(zone).map(|s| s.draw)).flatten()
--- a/crates/zones/tests/days.rs
+++ b/crates/zones/tests/days.rs
@@ -272,7 +272,7 @@
 #[test]
 fn near_that_flaps_each_second_does_not_make_commands_swing() {
     let mut d = day(10, Vec::new());
-    d.span = s(45);
+    d.span = s(75);
     // Slower by ten times in each other second, for 30 s.
     for n in 0..30 {
         let slowness = if n % 2 == 0 { 10.0 } else { 1.0 };
@@ -284,7 +284,8 @@
     let before = d.play();
     assert!(p.turns_per_minute() <= 6.0, "{} a minute", p.turns_per_minute());
     assert!(p.in_time >= before.in_time, "{} in time, {} before", p.in_time, before.in_time);
-    assert!(p.crossed_between(40, 45) < 0.5, "back once it is calm: {}", p.crossed_between(40, 45));
+    // Back once it is calm: after the longest calm span and some seconds of falling.
+    assert!(p.crossed_between(65, 75) < 0.1, "{}", p.crossed_between(65, 75));
 }
 
 #[test]
--- /dev/null
+++ b/crates/zones/tests/route.rs
@@ -0,0 +1,123 @@
+//! The routing alone: what it makes of rooms and answer times, step by step.
+
+use std::time::Duration;
+use tulipwall::Room;
+use tulipwall_zones::{LaneView, Route, Routing};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+const LANE: LaneView = LaneView { benefit: 1.0, quoted: Duration::from_millis(400) };
+
+fn room(warm: usize, cold: usize) -> Room {
+    let open = warm as f64 + cold as f64 * 0.3;
+    Room { running: warm + cold, draining: 0, awake: warm + cold, warm, open, in_flight: 0 }
+}
+
+/// Steps from `from` to `to` (in 100 ms) under the same rooms; near and far answer in so many milliseconds, and
+/// `rate` deliveries go out in each step, one of them to each far zone. What `each` makes of the route then.
+fn steps(
+    route: &mut Route,
+    (from, to): (u64, u64),
+    rooms: &[Room],
+    answers: impl Fn(u64, usize) -> Option<u64>,
+    rate: usize,
+    mut each: impl FnMut(&Route),
+) {
+    for step in from..to {
+        let now = ms(1_000_000 + step * 100);
+        for zone in 0..rooms.len() {
+            for _ in 0..if zone == 0 && rooms[0].running > 0 { rate } else { 1 } {
+                if let Some(took) = answers(step, zone) {
+                    route.sent(zone);
+                    route.answered(now, zone, 0, ms(took));
+                }
+            }
+        }
+        route.step(now, rooms);
+        each(route);
+    }
+}
+
+fn route(zones: usize) -> Route {
+    Route::new(0, Routing::NearFirst, &[LANE], vec![None; zones])
+}
+
+#[test]
+fn warm_ones_that_take_over_do_not_draw_cold_ones_after_them() {
+    let mut r = route(2);
+    steps(&mut r, (0, 100), &[room(4, 0), room(4, 0)], |_, _| Some(20), 10, |_| {});
+    assert_eq!(r.cold(), 1.0);
+    steps(&mut r, (100, 101), &[room(0, 0), room(2, 2)], |_, z| (z == 1).then_some(20), 10, |_| {});
+    assert!(r.cold() < 0.3, "two warm ones carry what eight did: {}", r.cold());
+    steps(&mut r, (101, 301), &[room(0, 0), room(2, 2)], |_, z| (z == 1).then_some(20), 10, |_| {});
+    assert!(r.cold() > 0.9, "and that is then what they carry: {}", r.cold());
+}
+
+#[test]
+fn what_near_was_not_seen_to_bear_goes_over_before_any_answer_is_late() {
+    let mut r = route(2);
+    let both = [room(8, 0), room(8, 0)];
+    steps(&mut r, (0, 200), &both, |_, z| (z == 0).then_some(20), 40, |_| {});
+    let before = r.draw(1).unwrap();
+    let lost = [room(2, 0), room(8, 0)];
+    steps(&mut r, (200, 203), &lost, |_, z| (z == 0).then_some(20), 40, |_| {});
+    let after = r.draw(1).unwrap();
+    assert!(before < 0.02 && after > 0.4, "{before}, then {after}");
+}
+
+/// How often a far draw goes from under a twentieth to over a half, and back.
+fn swings(half_period: u64) -> (u32, f64) {
+    let mut r = route(2);
+    let both = [room(8, 0), room(8, 0)];
+    let (mut over, mut swings) = (false, 0);
+    let near = |step: u64| if step / half_period % 2 == 1 { 200 } else { 20 };
+    steps(
+        &mut r,
+        (0, 1200),
+        &both,
+        |step, z| Some(if z == 0 { near(step) } else { 24 }),
+        10,
+        |r| {
+            let draw = r.draw(1).unwrap();
+            if (over && draw < 0.05) || (!over && draw > 0.5) {
+                (over, swings) = (!over, swings + 1);
+            }
+        },
+    );
+    steps(&mut r, (1200, 2400), &both, |_, z| Some(if z == 0 { 20 } else { 24 }), 10, |_| {});
+    (swings, r.draw(1).unwrap())
+}
+
+#[test]
+fn near_that_flaps_does_not_swing_the_draw_and_calm_brings_it_back() {
+    for half_period in [10, 50, 90] {
+        let (swings, at_the_end) = swings(half_period);
+        assert!(swings <= 5, "{swings} swings in two minutes at {half_period} steps a half period");
+        assert!(at_the_end < 0.03, "{at_the_end}");
+    }
+}
+
+#[test]
+fn of_two_far_zones_the_slower_draws_less_by_degrees() {
+    let mut r = route(3);
+    let rooms = [room(4, 0), room(4, 0), room(4, 0)];
+    steps(&mut r, (0, 100), &rooms, |_, z| Some([200, 60, 30][z]), 10, |_| {});
+    let (slow, quick) = (r.draw(1).unwrap(), r.draw(2).unwrap());
+    assert!(quick > 3.0 * slow && slow > 0.0, "{slow} {quick}");
+}
+
+#[test]
+fn after_a_stall_a_step_counts_once_and_old_answers_say_nothing() {
+    let mut r = route(2);
+    let both = [room(4, 0), room(4, 0)];
+    steps(&mut r, (0, 50), &both, |_, z| Some(if z == 0 { 20 } else { 25 }), 10, |_| {});
+    let before = r.draw(1).unwrap();
+    steps(&mut r, (300, 301), &both, |_, _| None, 0, |_| {});
+    assert!((r.draw(1).unwrap() - before).abs() < 0.02, "{before}, then {:?}", r.draw(1));
+    assert_eq!(r.added(1), Duration::ZERO, "not known");
+    (0..5).for_each(|_| r.opened(0, ms(2)));
+    (0..5).for_each(|_| r.opened(1, ms(10)));
+    assert_eq!(r.added(1), ms(8), "what new connections take longer");
+}
