A careful client library: retries that cannot harm, spread reconnects, its own limits

Change: crates/calls decides, pure: retries by what provably never ran, by window and by tokens; agents by two random choices, rests, gentle trials; gates for new connections; a bound that follows denials and late answers; answers read whole or not at all. crates/client does it on async-io without an executor, with a blocking face and tulipwall-call. Client files in KDL (deploy/client.kdl). A cutter among the stand-ins cuts ways after so many bytes.

--- /dev/null
+++ b/crates/calls/src/bound.rs
@@ -0,0 +1,118 @@
+//! How many calls a client may have in flight: as many as the agents can bear, found from their answers.
+//!
+//! The bound grows by one for each bound's worth of answers in time while it is in use, and falls by a tenth for
+//! denials and late answers, once in a span at most (additive increase, multiplicative decrease: Chiu and Jain,
+//! 1989). What is worth least is shed first, at once: a lane may use 0.7 of the bound and the rest by its benefit.
+
+use crate::service::{InFlight, Lane};
+use std::time::Duration;
+
+const FALL: f64 = 0.9;
+/// How often it falls at most.
+const FALL_EVERY: Duration = Duration::from_millis(100);
+/// It is in use, and may grow, while so much of it is taken.
+const IN_USE: f64 = 0.7;
+const FOR_ALL: f64 = 0.7;
+
+#[derive(Debug)]
+pub struct Bound {
+    by: InFlight,
+    now: f64,
+    in_flight: usize,
+    rooms: Vec<f64>, // by lane
+    fell: Option<Duration>,
+}
+
+impl Bound {
+    pub fn new(by: InFlight, lanes: &[Lane]) -> Bound {
+        let best = lanes.iter().map(|l| l.benefit).fold(1e-9, f64::max);
+        let rooms = lanes.iter().map(|l| FOR_ALL + (1.0 - FOR_ALL) * (l.benefit / best).clamp(0.0, 1.0));
+        let now = (by.most / 4.0).clamp(by.least, by.most.max(by.least));
+        Bound { rooms: rooms.collect(), now, in_flight: 0, fell: None, by }
+    }
+
+    /// Takes one more call of this lane in, or sheds it.
+    pub fn take(&mut self, lane: usize) -> bool {
+        let room = self.rooms.get(lane).copied().unwrap_or(FOR_ALL);
+        let fits = (self.in_flight as f64) < (self.now * room).max(1.0);
+        self.in_flight += usize::from(fits);
+        fits
+    }
+
+    /// One that was taken in has ended, however.
+    pub fn left(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// An answer came in time.
+    pub fn good(&mut self) {
+        if self.in_flight as f64 >= self.now * IN_USE {
+            self.now = (self.now + 1.0 / self.now.max(1.0)).min(self.by.most);
+        }
+    }
+
+    /// A denial, or an answer that was late.
+    pub fn bad(&mut self, now: Duration) {
+        if self.fell.is_none_or(|at| now >= at + FALL_EVERY) {
+            self.fell = Some(now);
+            // From what is really in flight: a bound far above that would fall for long without effect.
+            let from = self.now.min(self.in_flight as f64 * 1.5 + 1.0);
+            self.now = (from * FALL).max(self.by.least);
+        }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.now
+    }
+
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tulipwall::Repeats;
+
+    fn lanes() -> Vec<Lane> {
+        let lane = |benefit| Lane {
+            name: String::new(),
+            repeats: Repeats::Idempotent,
+            quoted: Duration::from_millis(400),
+            benefit,
+        };
+        vec![lane(1.0), lane(9.0)]
+    }
+
+    #[test]
+    fn least_benefit_is_shed_first_and_there_is_always_room_for_one() {
+        let mut bound = Bound::new(InFlight { least: 10.0, most: 10.0, ..InFlight::default() }, &lanes());
+        let view = (0..20).filter(|_| bound.take(0)).count();
+        let payment = (0..20).filter(|_| bound.take(1)).count();
+        assert_eq!((view, view + payment), (8, 10));
+        let mut small = Bound::new(InFlight { least: 0.0, most: 0.0, ..InFlight::default() }, &lanes());
+        assert!(small.take(0) && !small.take(1));
+    }
+
+    #[test]
+    fn it_follows_what_the_agents_can_bear() {
+        // They bear 40 at once; beyond that they deny.
+        let mut bound = Bound::new(InFlight { most: 500.0, ..InFlight::default() }, &lanes());
+        let mut seen = Vec::new();
+        for round in 0..2000u64 {
+            let taken = (0..600).filter(|_| bound.take(1)).count();
+            for n in 0..taken {
+                if n < 40 {
+                    bound.good();
+                } else {
+                    bound.bad(Duration::from_millis(round * 50));
+                }
+            }
+            (0..taken).for_each(|_| bound.left());
+            seen.push(taken);
+        }
+        let late = &seen[1000..];
+        assert!(late.iter().all(|n| (25..=60).contains(n)), "{:?}", late.iter().max());
+    }
+}
--- /dev/null
+++ b/crates/client/src/call.rs
@@ -0,0 +1,189 @@
+//! What is asked, and what comes of it.
+
+use std::fmt::{self, Write};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Of an object, a key or a customer's name.
+const NAME_MOST: usize = 256;
+/// Of a value that is written.
+const VALUE_MOST: usize = 64 * 1024;
+
+/// One call.
+///
+/// ```
+/// use std::time::Duration;
+/// use tulipwall_client::Call;
+///
+/// let call = Call::write("send", "a1", b"text".to_vec(), Duration::from_secs(1)).customer("acme").key("c0ffee");
+/// assert_eq!(call.object, "a1");
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    pub lane: String,
+    pub object: String,
+    /// What is written; nothing where it reads.
+    pub value: Option<Vec<u8>>,
+    pub customer: Option<String>,
+    /// By which repeats of a deduplicated command are told; drawn where it is not given.
+    pub key: Option<String>,
+    /// How long the caller waits. No call outlives it.
+    pub expiry: Duration,
+    /// An estimate of the work, where clients supply one.
+    pub estimate: Option<Duration>,
+}
+
+impl Call {
+    /// Reads an object.
+    pub fn read(lane: &str, object: &str, expiry: Duration) -> Call {
+        Call {
+            lane: lane.to_owned(),
+            object: object.to_owned(),
+            value: None,
+            customer: None,
+            key: None,
+            expiry,
+            estimate: None,
+        }
+    }
+
+    /// Writes an object.
+    pub fn write(lane: &str, object: &str, value: Vec<u8>, expiry: Duration) -> Call {
+        Call { value: Some(value), ..Call::read(lane, object, expiry) }
+    }
+
+    pub fn customer(self, name: &str) -> Call {
+        Call { customer: Some(name.to_owned()), ..self }
+    }
+
+    pub fn key(self, key: &str) -> Call {
+        Call { key: Some(key.to_owned()), ..self }
+    }
+
+    /// What is wrong with it, if anything: names go into a statement as they are.
+    pub(crate) fn check(&self) -> Result<(), String> {
+        let plain = |s: &str| {
+            let known = |c: char| c.is_ascii_alphanumeric() || "_-.:".contains(c);
+            !s.is_empty() && s.len() <= NAME_MOST && s.chars().all(known)
+        };
+        let named = [
+            ("lane", Some(&self.lane)),
+            ("object", Some(&self.object)),
+            ("customer", self.customer.as_ref()),
+            ("key", self.key.as_ref()),
+        ];
+        for (what, text) in named {
+            if text.is_some_and(|t| !plain(t)) {
+                return Err(format!("{what}: 1 to {NAME_MOST} letters, digits or any of _-.: are wanted"));
+            }
+        }
+        match &self.value {
+            Some(v) if v.len() > VALUE_MOST => Err(format!("value: {VALUE_MOST} bytes at most are wanted")),
+            _ if self.expiry.is_zero() => Err("expiry: more than nothing is wanted".into()),
+            _ => Ok(()),
+        }
+    }
+
+    /// The statement of one try, with what is really left of its time.
+    pub(crate) fn statement(&self, id: &str, key: Option<&str>, left: Duration, again: bool) -> String {
+        let mut text = match &self.value {
+            None => format!("SELECT body FROM objects WHERE oid = '{}'", self.object),
+            Some(value) => {
+                let mut text = format!("INSERT INTO objects (oid, body) VALUES ('{}', '\\x", self.object);
+                for b in value {
+                    // Writing to a string cannot fail.
+                    let _ = write!(text, "{b:02x}");
+                }
+                text + "') RETURNING body"
+            }
+        };
+        let _ = write!(text, " /* id={id},c={}", self.lane);
+        if let Some(customer) = &self.customer {
+            let _ = write!(text, ",t={customer}");
+        }
+        let _ = write!(text, ",d={}", left.as_millis().max(1));
+        if let Some(key) = key {
+            let _ = write!(text, ",k={key}");
+        }
+        if again {
+            text += ",r=1";
+        }
+        if let Some(h) = self.estimate {
+            let _ = write!(text, ",h={}", h.as_micros());
+        }
+        text + " */"
+    }
+}
+
+/// What was tried for a call.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tried {
+    /// The agents that were tried, in their order; one may come again.
+    pub agents: Vec<SocketAddr>,
+    /// How each try but the last ended.
+    pub ended: Vec<&'static str>,
+    /// It may have run at some of them.
+    pub may_have_run: bool,
+    pub took: Duration,
+}
+
+/// A value.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answered {
+    pub value: Vec<u8>,
+    pub tried: Tried,
+}
+
+/// No value, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Unanswered {
+    /// It did not run, or a repeat is harmless: the caller may ask again, not before `come_back` where that is
+    /// given.
+    Denied { come_back: Option<Duration>, tried: Tried },
+    /// It failed. Where `tried.may_have_run` is set and the lane is not idempotent, it must not be asked again.
+    Scrapped { code: String, tried: Tried },
+    /// Its time is over.
+    Expired { tried: Tried },
+    /// More calls are in flight than the agents bear, or wait than may wait: it did not go out.
+    Shed,
+    /// The call itself is wrong.
+    Faulty(String),
+}
+
+impl Unanswered {
+    pub fn tried(&self) -> Option<&Tried> {
+        match self {
+            Unanswered::Denied { tried, .. }
+            | Unanswered::Scrapped { tried, .. }
+            | Unanswered::Expired { tried } => Some(tried),
+            Unanswered::Shed | Unanswered::Faulty(_) => None,
+        }
+    }
+
+    /// As counters and the command line write it.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Unanswered::Denied { .. } => "denied",
+            Unanswered::Scrapped { .. } => "scrapped",
+            Unanswered::Expired { .. } => "expired",
+            Unanswered::Shed => "shed",
+            Unanswered::Faulty(_) => "faulty",
+        }
+    }
+}
+
+impl fmt::Display for Unanswered {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let ran = |t: &Tried| if t.may_have_run { "it may have run" } else { "it never ran" };
+        match self {
+            Unanswered::Denied { come_back: Some(t), .. } => write!(f, "denied; come back after {t:?}"),
+            Unanswered::Denied { .. } => f.write_str("denied"),
+            Unanswered::Scrapped { code, tried } => write!(f, "scrapped ({code}); {}", ran(tried)),
+            Unanswered::Expired { tried } => write!(f, "expired; {}", ran(tried)),
+            Unanswered::Shed => f.write_str("shed: more calls are in flight than the agents bear"),
+            Unanswered::Faulty(what) => write!(f, "faulty call: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for Unanswered {}
--- /dev/null
+++ b/crates/client/src/client.rs
@@ -0,0 +1,576 @@
+//! A client: its calls, from the first try to the answer.
+
+use crate::call::{Answered, Call, Tried, Unanswered};
+use crate::connection::{Connection, Heard};
+use crate::seen::{Counters, LaneSeen, Seen};
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::future::FutureExt;
+use rand::RngCore;
+use std::collections::{BTreeSet, VecDeque};
+use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use tulipwall::Repeats;
+use tulipwall_calls::answer::Said;
+use tulipwall_calls::{Bound, Chosen, Ended, Endpoints, Next, Opening, Retries, Service, Tries};
+
+/// Shared by all calls of a process; clones are the same client.
+#[derive(Clone, Debug)]
+pub struct Client(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    service: Service,
+    start: Instant,
+    prefix: String,
+    next: AtomicU64,
+    state: Mutex<State>,
+    /// A connection was put back, a place became free, or a call ended.
+    freed: Event,
+}
+
+#[derive(Debug)]
+struct State {
+    retries: Retries,
+    endpoints: Endpoints,
+    bound: Bound,
+    pools: Vec<Pool>,
+    waiting: usize,
+    keys: BTreeSet<String>, // of deduplicated calls in hand
+    counters: Counters,
+    lanes: Vec<LaneSeen>,
+}
+
+impl State {
+    /// A connection to this agent was closed by it or broke. If others that wait are quiet, that was all. If all
+    /// are closed, the agent has gone, or is going.
+    fn broke(&mut self, now: Duration, agent: usize) {
+        let pool = &mut self.pools[agent];
+        let before = pool.idle.len();
+        pool.idle.retain(Connection::quiet);
+        pool.open = pool.open.saturating_sub(before - pool.idle.len());
+        self.counters.found_closed += (before - pool.idle.len()) as u64;
+        match (pool.idle.is_empty(), before) {
+            (false, _) => {}
+            (true, 0) => self.endpoints.closed(now, agent),
+            (true, _) if self.pools.len() > 1 => self.endpoints.leaves(now, agent),
+            (true, _) => self.endpoints.lost(now, agent),
+        }
+    }
+}
+
+/// Connections to one agent.
+#[derive(Debug, Default)]
+struct Pool {
+    idle: VecDeque<Connection>, // the longest idle first
+    open: usize,                // with those in use
+}
+
+/// Gives back what a call holds, however it ends.
+struct Held<'a> {
+    inner: &'a Inner,
+    key: Option<String>,
+    over: bool,
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        let mut state = self.inner.state();
+        state.bound.left();
+        if let Some(key) = &self.key {
+            state.keys.remove(key);
+        }
+        state.counters.left += u64::from(!self.over);
+        drop(state);
+        self.inner.freed.notify(usize::MAX);
+    }
+}
+
+/// One try at an agent; dropped unended it says nothing of the agent.
+struct Trying<'a> {
+    inner: &'a Inner,
+    agent: usize,
+    good: Option<bool>,
+}
+
+impl Drop for Trying<'_> {
+    fn drop(&mut self) {
+        let now = self.inner.now();
+        self.inner.state().endpoints.ended(now, self.agent, self.good);
+        self.inner.freed.notify(usize::MAX);
+    }
+}
+
+/// A place among the connections to an agent.
+struct Place<'a> {
+    inner: &'a Inner,
+    agent: usize,
+    kept: bool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if !self.kept {
+            let mut state = self.inner.state();
+            state.pools[self.agent].open = state.pools[self.agent].open.saturating_sub(1);
+            drop(state);
+            self.inner.freed.notify(usize::MAX);
+        }
+    }
+}
+
+/// A call that waits for a place.
+struct Waiting<'a>(&'a Inner);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = self.0.state();
+        state.waiting = state.waiting.saturating_sub(1);
+    }
+}
+
+/// A connection that is being opened; dropped it counts as not opened.
+struct Opened<'a> {
+    inner: &'a Inner,
+    agent: usize,
+    open: Option<bool>,
+}
+
+impl Drop for Opened<'_> {
+    fn drop(&mut self) {
+        let now = self.inner.now();
+        let mut state = self.inner.state();
+        // One that a call gave up for its own expiry says nothing of the agent.
+        state.endpoints.opened(now, self.agent, self.open != Some(false));
+        match self.open {
+            Some(true) => state.counters.opened += 1,
+            _ => state.counters.not_opened += 1,
+        }
+        drop(state);
+        self.inner.freed.notify(usize::MAX);
+    }
+}
+
+enum Got<'a> {
+    Connection(Box<Connection>, Place<'a>),
+    /// The agent would not take it.
+    Refused(Said),
+    /// It could not be reached.
+    Not,
+    /// No place in the time that a call may wait, or too many wait.
+    NoPlace,
+}
+
+impl Client {
+    /// A client of this service. Nothing is opened before the first call, or [`Client::warm`].
+    pub fn new(service: Service) -> Client {
+        let mut rng = rand::thread_rng();
+        let (seed, agents) = (rng.next_u64(), service.agents.len());
+        let state = State {
+            retries: Retries::new(service.retrying.clone(), agents, seed),
+            endpoints: Endpoints::new(service.connections.clone(), agents, seed ^ 1),
+            bound: Bound::new(service.in_flight.clone(), &service.lanes),
+            pools: (0..agents).map(|_| Pool::default()).collect(),
+            waiting: 0,
+            keys: BTreeSet::new(),
+            counters: Counters::default(),
+            lanes: service.lanes.iter().map(|l| LaneSeen::new(&l.name)).collect(),
+        };
+        Client(Arc::new(Inner {
+            service,
+            start: Instant::now(),
+            prefix: format!("{:016x}", rng.next_u64()),
+            next: AtomicU64::new(0),
+            state: Mutex::new(state),
+            freed: Event::new(),
+        }))
+    }
+
+    /// Opens the least number of connections to each agent, as far as its gate lets them; how many are open.
+    pub async fn warm(&self) -> usize {
+        let inner = &*self.0;
+        let within = inner.service.connections.within;
+        for agent in 0..inner.service.agents.len() {
+            for _ in 0..inner.service.connections.least {
+                if inner.state().pools[agent].open >= inner.service.connections.least {
+                    break;
+                }
+                let until = Instant::now() + within;
+                if let Some(Got::Connection(c, place)) = limited(until, inner.connection(agent, until)).await
+                {
+                    inner.keep(*c, place);
+                }
+            }
+        }
+        inner.state().pools.iter().map(|p| p.open).sum()
+    }
+
+    /// One call, to its answer. Dropping it closes what it had out.
+    pub async fn call(&self, call: Call) -> Result<Answered, Unanswered> {
+        let inner = &*self.0;
+        let begun = Instant::now();
+        let checked = call.check().and_then(|()| {
+            let unknown = || format!("lane: '{}' is not one of this service", call.lane);
+            inner.service.lane(&call.lane).ok_or_else(unknown)
+        });
+        let ended = match checked {
+            Ok(lane) => inner.call(&call, lane, begun).await,
+            Err(what) => Err(Unanswered::Faulty(what)),
+        };
+        let mut state = inner.state();
+        let c = &mut state.counters;
+        c.calls += 1;
+        match &ended {
+            Ok(_) => c.satisfied += 1,
+            Err(Unanswered::Denied { .. }) => c.denied += 1,
+            Err(Unanswered::Scrapped { .. }) => c.scrapped += 1,
+            Err(Unanswered::Expired { .. }) => c.expired += 1,
+            Err(Unanswered::Shed) => c.shed += 1,
+            Err(Unanswered::Faulty(_)) => c.faulty += 1,
+        }
+        ended
+    }
+
+    /// What can be seen of it now.
+    pub fn seen(&self) -> Seen {
+        let state = self.0.state();
+        Seen {
+            counters: state.counters.clone(),
+            lanes: state.lanes.clone(),
+            bound: state.bound.now(),
+            in_flight: state.bound.in_flight(),
+            tokens: state.retries.tokens(),
+            idle: state.pools.iter().map(|p| p.idle.len()).collect(),
+        }
+    }
+
+    pub fn service(&self) -> &Service {
+        &self.0.service
+    }
+}
+
+/// The outcome of `work`, unless the time is over before.
+async fn limited<T>(until: Instant, work: impl Future<Output = T>) -> Option<T> {
+    let late = async {
+        Timer::at(until).await;
+        None
+    };
+    async { Some(work.await) }.or(late).await
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn at(&self, at: Duration) -> Instant {
+        self.start + at
+    }
+
+    async fn call(&self, call: &Call, lane: usize, begun: Instant) -> Result<Answered, Unanswered> {
+        let of = &self.service.lanes[lane];
+        let keyed = matches!(of.repeats, Repeats::Deduplicated { .. });
+        let key = keyed.then(|| call.key.clone().unwrap_or_else(|| self.id()));
+        let mut held = {
+            let mut state = self.state();
+            // Two calls under one key at once could not tell whose answer is whose.
+            if key.as_ref().is_some_and(|k| state.keys.contains(k)) {
+                return Err(Unanswered::Faulty("key: another call with it is in hand".into()));
+            }
+            if !state.bound.take(lane) {
+                return Err(Unanswered::Shed);
+            }
+            state.keys.extend(key.clone());
+            Held { inner: self, key: key.clone(), over: false }
+        };
+        let expires = begun + call.expiry;
+        let mut tries =
+            Tries::new(of.repeats, self.now() + expires.saturating_duration_since(Instant::now()));
+        let mut tried = Tried::default();
+        let ended = self.tries(call, key.as_deref(), expires, &mut tries, &mut tried).await;
+        held.over = true;
+        tried.took = begun.elapsed();
+        tried.may_have_run = tries.may_have_run();
+        // What may have run and may not simply run again is not denied, wherever the call ended.
+        let harmless = !tries.may_have_run() || of.repeats == Repeats::Idempotent;
+        match ended {
+            Err(Given::Denied(_)) if !harmless => {
+                Err(Unanswered::Scrapped { code: "unreachable".into(), tried })
+            }
+            Ok(value) => {
+                let mut state = self.state();
+                state.lanes[lane].satisfied(tries.count as usize, tried.took);
+                if tried.took <= of.quoted {
+                    state.bound.good();
+                } else {
+                    state.bound.bad(self.now());
+                }
+                Ok(Answered { value, tried })
+            }
+            Err(Given::Denied(come_back)) => Err(Unanswered::Denied { come_back, tried }),
+            Err(Given::Failed(code)) => Err(Unanswered::Scrapped { code, tried }),
+            Err(Given::Expired) => Err(Unanswered::Expired { tried }),
+            Err(Given::Shed) => Err(Unanswered::Shed),
+        }
+    }
+
+    /// Tries until there is an answer, none may follow, or its time is over.
+    async fn tries(
+        &self,
+        call: &Call,
+        key: Option<&str>,
+        expires: Instant,
+        tries: &mut Tries,
+        tried: &mut Tried,
+    ) -> Result<Vec<u8>, Given> {
+        let mut last = None;
+        loop {
+            let agent = self.agent(last, expires).await?;
+            let mut trying = Trying { inner: self, agent, good: None };
+            let got = limited(expires, self.connection(agent, expires)).await;
+            // Its window may have ended while it waited.
+            if let Err(cause) = tries.may_go(self.now()) {
+                self.note(call, agent, "window", cause.word());
+                return Err(Given::Failed(cause.word().into()));
+            }
+            tries.begin(self.now());
+            tried.agents.push(self.service.agents[agent]);
+            self.state().counters.tries += 1;
+            let (ended, failure) = match got {
+                None => return Err(Given::Expired),
+                Some(Got::NoPlace) if tries.count == 1 && !tries.may_have_run() => return Err(Given::Shed),
+                Some(Got::NoPlace | Got::Not) => (Ended::NotSent, Given::Denied(None)),
+                Some(Got::Refused(Said::Leaving)) => (Ended::Leaving, Given::Denied(None)),
+                Some(Got::Refused(Said::Denied(back))) => (Ended::Denied(back), Given::Denied(back)),
+                Some(Got::Refused(_)) => (Ended::NotSent, Given::Denied(None)),
+                Some(Got::Connection(connection, place)) => {
+                    let left = expires.saturating_duration_since(Instant::now());
+                    let again = self.service.marks_retries && tries.count > 1;
+                    let statement = call.statement(&self.id(), key, left, again);
+                    match self.ask(*connection, place, &statement, expires).await {
+                        Ok(value) => {
+                            trying.good = Some(true);
+                            self.state().retries.satisfied(agent);
+                            return Ok(value);
+                        }
+                        Err(failed) => failed,
+                    }
+                }
+            };
+            trying.good = match ended {
+                Ended::Denied(_) | Ended::Failed => Some(true),
+                Ended::Leaving | Ended::Crossed => None,
+                _ => Some(false),
+            };
+            let now = self.now();
+            let next = {
+                let mut state = self.state();
+                *state.counters.ended.entry(ended.word()).or_default() += 1;
+                match ended {
+                    Ended::Leaving => state.endpoints.leaves(now, agent),
+                    Ended::Broken | Ended::Crossed => state.broke(now, agent),
+                    Ended::Denied(_) | Ended::Late => state.bound.bad(now),
+                    _ => {}
+                }
+                state.retries.next(now, tries, agent, ended)
+            };
+            drop(trying);
+            if ended == Ended::Late {
+                return Err(Given::Expired);
+            }
+            match next {
+                Next::Again(at) => {
+                    self.note(call, agent, ended.word(), "again");
+                    tried.ended.push(ended.word());
+                    last = Some(agent);
+                    if limited(expires, Timer::at(self.at(at))).await.is_none() {
+                        return Err(Given::Expired);
+                    }
+                }
+                Next::Over(cause) => {
+                    self.note(call, agent, ended.word(), cause.word());
+                    *self.state().counters.given_up.entry(cause.word()).or_default() += 1;
+                    return Err(failure);
+                }
+            }
+        }
+    }
+
+    fn note(&self, call: &Call, agent: usize, ended: &str, next: &str) {
+        log::debug!(lane = call.lane.as_str(), agent:% = self.service.agents[agent], ended, next;
+            "a try of {} ended: {ended}; {next}", call.lane);
+    }
+
+    /// An id that no other try has.
+    fn id(&self) -> String {
+        format!("{}-{:x}", self.prefix, self.next.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The agent for the next try, once one may be tried. Where that is beyond the call's time it ends at once.
+    async fn agent(&self, but: Option<usize>, expires: Instant) -> Result<usize, Given> {
+        loop {
+            let freed = self.freed.listen();
+            let now = self.now();
+            let chosen = {
+                let State { endpoints, pools, .. } = &mut *self.state();
+                endpoints.choose(now, but, |agent| !pools[agent].idle.is_empty())
+            };
+            match chosen {
+                Chosen::Agent(agent) => return Ok(agent),
+                Chosen::NotBefore(at) if self.at(at) >= expires => {
+                    return Err(Given::Denied(Some(at.saturating_sub(now))));
+                }
+                Chosen::NotBefore(at) => {
+                    limited(self.at(at), freed).await;
+                    if Instant::now() >= expires {
+                        return Err(Given::Expired);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A connection to this agent: one that waits, or a new one where its gate lets it, or the next that is free.
+    async fn connection(&self, agent: usize, expires: Instant) -> Got<'_> {
+        let until = expires.min(Instant::now() + self.service.in_flight.wait);
+        let mut waiting: Option<Waiting> = None;
+        loop {
+            let freed = self.freed.listen();
+            if let Some(found) = self.idle(agent) {
+                return Got::Connection(Box::new(found.0), found.1);
+            }
+            let opening = {
+                let now = self.now();
+                let mut state = self.state();
+                if state.pools[agent].open >= self.service.connections.most.max(1) {
+                    Opening::Full
+                } else {
+                    let opening = state.endpoints.open(now, agent);
+                    if opening == Opening::Now {
+                        state.pools[agent].open += 1;
+                    }
+                    opening
+                }
+            };
+            let look = match opening {
+                Opening::Now => return self.open(agent, expires).await,
+                Opening::NotBefore(at) => self.at(at).min(until),
+                Opening::Full => until,
+            };
+            if waiting.is_none() {
+                let mut state = self.state();
+                if state.waiting >= self.service.in_flight.waiting {
+                    return Got::NoPlace;
+                }
+                state.waiting += 1;
+                drop(state);
+                waiting = Some(Waiting(self));
+            }
+            limited(look, freed).await;
+            if Instant::now() >= until {
+                return Got::NoPlace;
+            }
+        }
+    }
+
+    /// One that waits, known open and quiet. Those that are too old, or idle for too long, are closed.
+    fn idle(&self, agent: usize) -> Option<(Connection, Place<'_>)> {
+        let by = &self.service.connections;
+        let mut state = self.state();
+        while let Some(c) = state.pools[agent].idle.pop_front() {
+            let fresh = c.since.elapsed() < c.life && c.idle_from.elapsed() < by.idle;
+            let quiet = c.quiet();
+            if fresh && quiet {
+                state.counters.reused += 1;
+                return Some((c, Place { inner: self, agent, kept: false }));
+            }
+            state.pools[agent].open = state.pools[agent].open.saturating_sub(1);
+            if fresh && !quiet {
+                state.counters.found_closed += 1;
+                let now = self.now();
+                state.broke(now, agent);
+            }
+        }
+        None
+    }
+
+    async fn open(&self, agent: usize, expires: Instant) -> Got<'_> {
+        let place = Place { inner: self, agent, kept: false };
+        let mut opened = Opened { inner: self, agent, open: None };
+        let life = self.state().endpoints.life();
+        let within = Instant::now() + self.service.connections.within;
+        let opening = Connection::open(self.service.agents[agent], life);
+        match limited(within.min(expires), opening).await {
+            Some(Ok(Ok(connection))) => {
+                opened.open = Some(true);
+                Got::Connection(Box::new(connection), place)
+            }
+            Some(Ok(Err(said))) => {
+                opened.open = Some(false);
+                Got::Refused(said)
+            }
+            Some(Err(_)) => {
+                opened.open = Some(false);
+                Got::Not
+            }
+            None => {
+                opened.open = (within <= expires).then_some(false);
+                Got::Not
+            }
+        }
+    }
+
+    /// Asks on a connection, which is kept where it may be used again.
+    async fn ask(
+        &self,
+        mut connection: Connection,
+        place: Place<'_>,
+        statement: &str,
+        expires: Instant,
+    ) -> Result<Vec<u8>, (Ended, Given)> {
+        let mut written = false;
+        let heard = limited(expires, connection.ask(statement, self.service.value_most, &mut written)).await;
+        match heard {
+            Some(Heard::Said(said)) => {
+                let leaving = said == Said::Leaving;
+                if !leaving {
+                    self.keep(connection, place);
+                }
+                match said {
+                    Said::Value(value) => Ok(value),
+                    Said::Denied(back) => Err((Ended::Denied(back), Given::Denied(back))),
+                    Said::Leaving => Err((Ended::Leaving, Given::Denied(None))),
+                    Said::Failed(code, _) => Err((Ended::Failed, Given::Failed(code))),
+                    Said::Ready => Err((Ended::Garbage, Given::Failed("garbage".into()))),
+                }
+            }
+            Some(Heard::Ended(Ended::NotSent)) => Err((Ended::NotSent, Given::Denied(None))),
+            Some(Heard::Ended(ended)) => Err((ended, Given::Failed(ended.word().into()))),
+            // Before its last byte was written it never ran, but its time is over all the same.
+            None if written => Err((Ended::Late, Given::Expired)),
+            None => Err((Ended::NotSent, Given::Expired)),
+        }
+    }
+
+    fn keep(&self, connection: Connection, mut place: Place<'_>) {
+        if connection.since.elapsed() < connection.life {
+            place.kept = true;
+            self.state().pools[place.agent].idle.push_back(connection);
+            self.freed.notify(usize::MAX);
+        }
+    }
+}
+
+/// How a call that has no value is given up.
+enum Given {
+    Denied(Option<Duration>),
+    Failed(String),
+    Expired,
+    Shed,
+}
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,37 @@
+//! The client library for servers that call the agents: it keeps deadlines, never repeats what may not run twice,
+//! retries within a budget, spreads its reconnects and sheds what the agents cannot bear.
+//!
+//! A [`Client`] is shared by all calls of a process. It needs no executor and starts no thread of its own beside
+//! that of async-io: all it does happens inside calls. [`blocking::Client`] is the same for code that blocks.
+//!
+//! ```no_run
+//! use std::time::Duration;
+//! use tulipwall_client::{Call, Client, Lane, Repeats, Service, Unanswered};
+//!
+//! let view = Lane {
+//!     name: "view".into(),
+//!     repeats: Repeats::Idempotent,
+//!     quoted: Duration::from_millis(400),
+//!     benefit: 3.0,
+//! };
+//! let service = Service::new(vec!["127.0.0.1:6543".parse().unwrap()], vec![view]);
+//! let client = Client::new(service);
+//! let call = Call::read("view", "7f3a9c21", Duration::from_millis(1500));
+//! match futures_lite::future::block_on(client.call(call)) {
+//!     Ok(answer) => println!("{} bytes", answer.value.len()),
+//!     Err(Unanswered::Denied { come_back, .. }) => println!("come back after {come_back:?}"),
+//!     Err(other) => println!("{other}"),
+//! }
+//! ```
+
+pub mod blocking;
+mod call;
+mod client;
+mod connection;
+mod seen;
+
+pub use call::{Answered, Call, Tried, Unanswered};
+pub use client::Client;
+pub use seen::{Counters, LaneSeen, Seen};
+pub use tulipwall::{Group, Repeats};
+pub use tulipwall_calls::{Connections, InFlight, Lane, Retrying, Service};
--- /dev/null
+++ b/crates/client/src/seen.rs
@@ -0,0 +1,69 @@
+//! What a caller can read of its client: counters, and times by lane and try.
+
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Tries that are told apart; later ones count as the last.
+pub const TRIES: usize = 4;
+
+/// Counts since the client's start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Counters {
+    pub calls: u64,
+    pub satisfied: u64,
+    pub denied: u64,
+    pub scrapped: u64,
+    pub expired: u64,
+    pub shed: u64,
+    pub faulty: u64,
+    /// Dropped by the caller before their end.
+    pub left: u64,
+    /// Tries, and how those ended that were not satisfied.
+    pub tries: u64,
+    pub ended: BTreeMap<&'static str, u64>,
+    /// Why calls were not tried again.
+    pub given_up: BTreeMap<&'static str, u64>,
+    pub opened: u64,
+    pub reused: u64,
+    pub not_opened: u64,
+    /// Idle connections that were found closed or with bytes on them.
+    pub found_closed: u64,
+}
+
+/// One lane: microseconds of satisfied calls, from the call's beginning, by the number of tries they took.
+#[derive(Clone, Debug)]
+pub struct LaneSeen {
+    pub name: String,
+    pub times: Vec<Histogram<u32>>,
+}
+
+/// All of it, as it stands.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub counters: Counters,
+    pub lanes: Vec<LaneSeen>,
+    /// The bound on calls in flight, and how many are.
+    pub bound: f64,
+    pub in_flight: usize,
+    /// Tokens left for retries.
+    pub tokens: f64,
+    /// Connections that wait for a command, by agent.
+    pub idle: Vec<usize>,
+}
+
+impl LaneSeen {
+    pub(crate) fn new(name: &str) -> LaneSeen {
+        LaneSeen { name: name.to_owned(), times: Vec::new() }
+    }
+
+    pub(crate) fn satisfied(&mut self, tries: usize, took: Duration) {
+        let n = tries.clamp(1, TRIES) - 1;
+        while self.times.len() <= n {
+            // Two digits from 16 us to two minutes are 10 KB, and bounds that the library always takes.
+            let Ok(new) = Histogram::new_with_bounds(16, 120_000_000, 2) else { return };
+            self.times.push(new);
+        }
+        self.times[n].saturating_record((took.as_micros() as u64).clamp(16, 120_000_000));
+    }
+}
--- a/crates/deployment/src/document.rs
+++ b/crates/deployment/src/document.rs
@@ -247,6 +247,17 @@
         size
     }
 
+    /// `#true` or `#false`.
+    pub fn flag(&mut self, node: &KdlNode) -> Option<bool> {
+        let entry = self.value(node)?;
+        let flag = entry.value().as_bool();
+        if flag.is_none() {
+            let what = format!("#true or #false is wanted, not {}", shown(entry.value()));
+            self.wrong(self.of_entry(entry), node.name().value(), what);
+        }
+        flag
+    }
+
     /// One of these words.
     pub fn word(&mut self, node: &KdlNode, words: &[&str]) -> Option<usize> {
         let text = self.text(node)?;
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -4,12 +4,14 @@
 mod fields;
 mod installation;
 mod instance;
+mod service;
 
 pub use document::Mistake;
 pub use fields::{millis, span, Fields};
 pub use installation::{Door, Installation, LogForm, UNNAMED};
 pub use instance::Instance;
 use serde_json::Value;
+pub use service::read_service;
 use std::collections::HashMap;
 use std::time::Duration;
 use tulipwall::{Customer, Deployment, Group, Lane, Repeats, Rollout};
--- a/crates/deployment/tests/installation.rs
+++ b/crates/deployment/tests/installation.rs
@@ -188,3 +188,33 @@
     assert!(Installation::read(&"{".repeat(100_000)).is_err());
     assert!(Installation::read(&"a".repeat(2 * 1024 * 1024)).is_err());
 }
+
+#[test]
+fn a_clients_file_is_read_and_all_its_mistakes_are_named() {
+    let read = |text: &str| tulipwall_deployment::read_service(text);
+    let lane = "lane \"view\" { repeats \"idempotent\"; quoted \"400ms\"; benefit 3; }\n";
+    let service =
+        read(&format!("agent \"127.0.0.1:1\"\nagent \"[::1]:2\"\n{lane}retries {{ tries 2; }}\n")).unwrap();
+    assert_eq!((service.agents.len(), service.lanes.len(), service.retrying.tries), (2, 1, 2));
+    assert_eq!(service.connections, Default::default());
+    let wrong = "agent \"nowhere\"\nlane \"a\" { repeats \"never\"; quoted 5; }\nmarks-retries \"yes\"\n\
+        connections { least 9; most 3; }\nretrys { }\n";
+    let all: Vec<String> = read(wrong).unwrap_err().iter().map(Mistake::to_string).collect();
+    for wanted in [
+        "1:1: agent: 'nowhere' is no address with a port",
+        "2:12: repeats: one of idempotent, deduplicated, unrepeatable is wanted, not \"never\"",
+        "2:36: quoted: a span of 1ms or more like",
+        "3:15: marks-retries: #true or #false is wanted, not yes",
+        "4:1: connections: least is more than most",
+        "5:1: retrys: unknown in the file; did you mean 'retries'?",
+    ] {
+        assert!(all.iter().any(|m| m.starts_with(wanted)), "{wanted}\nin {all:#?}");
+    }
+    assert_eq!(read("").unwrap_err().len(), 2, "an agent and a lane are wanted");
+    let example =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/client.kdl")).unwrap();
+    assert_eq!(read(&example).unwrap().lanes.len(), 3);
+    let zones =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/zones.kdl")).unwrap();
+    assert!(Installation::read(&zones).unwrap().has_zones());
+}
--- /dev/null
+++ b/crates/standins/src/cutter.rs
@@ -0,0 +1,76 @@
+//! A way to an agent that is cut after so many bytes, in one direction or the other.
+
+use crate::ground::{self, Ends};
+use async_executor::Task;
+use async_io::Async;
+use futures_lite::future::FutureExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// How one connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    Never,
+    /// After so many bytes to the agent.
+    There(usize),
+    /// After so many bytes from it.
+    Back(usize),
+}
+
+/// Passes connections on, each cut as its script says; those beyond the script are not cut.
+pub struct Cutter {
+    pub address: SocketAddr,
+    ends: Arc<Ends>,
+    _task: Task<()>,
+}
+
+impl Cutter {
+    pub fn start(agent: SocketAddr, script: Vec<Cut>) -> io::Result<Cutter> {
+        let script = Arc::new(Mutex::new(script.into_iter()));
+        let ends = Arc::<Ends>::default();
+        let (address, task) = ground::listen(&ends, move |stream| {
+            let next = script.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).next();
+            let cut = next.unwrap_or(Cut::Never);
+            async move {
+                let _ = pass(stream, agent, cut).await;
+            }
+        })?;
+        Ok(Cutter { address, ends, _task: task })
+    }
+}
+
+impl Drop for Cutter {
+    fn drop(&mut self) {
+        self.ends.end();
+    }
+}
+
+async fn pass(client: Async<TcpStream>, agent: SocketAddr, cut: Cut) -> io::Result<()> {
+    let server = Async::<TcpStream>::connect(agent).await?;
+    server.get_ref().set_nodelay(true)?;
+    let limit = |cut_here: Option<usize>| cut_here.unwrap_or(usize::MAX);
+    let there = limit(if let Cut::There(n) = cut { Some(n) } else { None });
+    let back = limit(if let Cut::Back(n) = cut { Some(n) } else { None });
+    // Either end ends both, as a machine between them that dies would.
+    copy(&client, &server, there).or(copy(&server, &client, back)).await?;
+    let _ = client.get_ref().shutdown(Shutdown::Both);
+    let _ = server.get_ref().shutdown(Shutdown::Both);
+    Ok(())
+}
+
+async fn copy(from: &Async<TcpStream>, to: &Async<TcpStream>, most: usize) -> io::Result<()> {
+    let (mut from, mut to, mut left) = (from, to, most);
+    let mut room = [0; 4096];
+    while left > 0 {
+        let got = from.read(&mut room).await?;
+        if got == 0 {
+            return Ok(());
+        }
+        let pass = got.min(left);
+        to.write_all(&room[..pass]).await?;
+        left -= pass;
+    }
+    Ok(())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod appliance;
 pub mod caller;
+pub mod cutter;
 pub mod day;
 pub mod discovery;
 pub mod ground;
@@ -23,6 +24,7 @@
 
 pub use appliance::{Act, Appliance, Counted, Link, Seen, Ways};
 pub use caller::{Caller, Told};
+pub use cutter::{Cut, Cutter};
 pub use discovery::{Discovery, Entry, Manner};
 pub use load::{Answered, Load};
 pub use platform::{News, Offer, Platform};
