--- a/crates/client/examples/measure.rs
+++ b/crates/client/examples/measure.rs
@@ -52,6 +52,7 @@
     agent: SocketAddr,
     stream: Option<async_io::Async<TcpStream>>,
     opened: Arc<AtomicU64>,
+    tries: Arc<AtomicU64>,
 }
 
 impl Naive {
@@ -83,6 +84,7 @@
             self.stream = Some(stream);
         }
         let Some(stream) = self.stream.as_mut() else { return Ok(false) };
+        self.tries.fetch_add(1, Ordering::Relaxed);
         stream.write_all(&pg::query(text)).await?;
         let mut good = true;
         loop {
@@ -100,13 +102,15 @@
     stop: Arc<AtomicBool>,
     satisfied: Arc<AtomicU64>,
     opened: Box<dyn Fn() -> u64>,
+    /// Commands that went out to the agent.
+    tries: Arc<dyn Fn() -> u64 + Send + Sync>,
     tasks: Vec<async_executor::Task<()>>,
 }
 
 fn crowd(careful: bool, agent: SocketAddr, count: usize, pause: Duration) -> Crowd {
     let (stop, satisfied) = (Arc::<AtomicBool>::default(), Arc::<AtomicU64>::default());
     let (mut tasks, mut clients) = (Vec::new(), Vec::new());
-    let naive_opened = Arc::<AtomicU64>::default();
+    let (naive_opened, naive_tries) = (Arc::<AtomicU64>::default(), Arc::<AtomicU64>::default());
     for c in 0..count {
         let (stop, satisfied) = (stop.clone(), satisfied.clone());
         let from = pause.mul_f64(c as f64 / count as f64);
@@ -126,7 +130,8 @@
                 }
             }));
         } else {
-            let mut naive = Naive { agent, stream: None, opened: naive_opened.clone() };
+            let (opened, tries) = (naive_opened.clone(), naive_tries.clone());
+            let mut naive = Naive { agent, stream: None, opened, tries };
             tasks.push(spawn(async move {
                 sleep(from).await;
                 for n in 0.. {
@@ -140,12 +145,18 @@
             }));
         }
     }
+    let ours = clients.clone();
+    let tries: Arc<dyn Fn() -> u64 + Send + Sync> = if careful {
+        Arc::new(move || ours.iter().map(|c| c.seen().counters.tries).sum())
+    } else {
+        Arc::new(move || naive_tries.load(Ordering::Relaxed))
+    };
     let opened: Box<dyn Fn() -> u64> = if careful {
         Box::new(move || clients.iter().map(|c| c.seen().counters.opened).sum())
     } else {
         Box::new(move || naive_opened.load(Ordering::Relaxed))
     };
-    Crowd { stop, satisfied, opened, tasks }
+    Crowd { stop, satisfied, opened, tries, tasks }
 }
 
 impl Crowd {
@@ -243,16 +254,20 @@
     let seen = std::thread::spawn(move || {
         sample(64, ms(250), || w.of_zone(0).iter().map(|(_, a)| a.seen_count() as u64).sum())
     });
+    let tries = crowd.tries.clone();
+    let asked = std::thread::spawn(move || sample(64, ms(250), || tries()));
     let good = sample(64, ms(250), || satisfied.load(Ordering::Relaxed));
-    let seen = seen.join().unwrap_or_default();
+    let (seen, asked) = (seen.join().unwrap_or_default(), asked.join().unwrap_or_default());
     let _ = script.join();
     crowd.end();
     let mean = |of: &[f64]| of.iter().sum::<f64>() / of.len().max(1) as f64 * 4.0;
     let usual = mean(&good[..12]);
     let back = good[32..].windows(4).position(|w| mean(w) >= usual * 0.95).map(|n| n as f64 / 4.0);
     println!(
-        "| {} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {} | {} |",
+        "| {} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {} | {} |",
         if careful { "this library" } else { "naive" },
+        mean(&asked[..12]),
+        mean(&asked[14..32]),
         mean(&seen[..12]),
         mean(&seen[14..32]),
         mean(&seen[32..40]),
@@ -349,8 +364,8 @@
     println!("\n| clients | most new connections in 100 ms | over the mean | nine tenths within | all within | payments run twice |");
     println!("| --- | --- | --- | --- | --- | --- |");
     let (naive, careful) = (restart(false), restart(true));
-    println!("\n| clients | deliveries/s before | during | 2 s after | satisfied/s before | during | benefit back after | payments run twice |");
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("\n| clients | commands/s at the agent before | during | deliveries/s before | during | 2 s after | satisfied/s before | during | benefit back after | payments run twice |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let ((naive_seen, naive_good), (seen, good)) = (brownout(false), brownout(true));
     overhead();
     if let Some(folder) = std::env::args().nth(1).map(PathBuf::from) {
--- a/crates/client/tests/command.rs
+++ b/crates/client/tests/command.rs
@@ -166,3 +166,25 @@
         assert_eq!(client.seen().in_flight, 0);
     }
 }
+
+#[test]
+fn an_agent_that_leaves_is_left_for_others_without_a_failed_call() {
+    let payment =
+        Lane { name: "payment".into(), repeats: Repeats::Unrepeatable, quoted: ms(400), benefit: 1.0 };
+    let (stays, leaves) = (agent(Ways::default()), agent(Ways::default()));
+    let client = Client::new(Service::new(vec![stays.address(0), leaves.address(0)], vec![payment]));
+    let pay = |n: u32| {
+        futures_lite::future::block_on(client.call(Call::read("payment", &format!("p{n}"), ms(900))))
+    };
+    assert!((0..20).all(|n| pay(n).is_ok()));
+    leaves.ways(|w| w.act = Act::Leaves);
+    let before = leaves.seen_count();
+    assert!((20..80).all(|n| pay(n).is_ok()));
+    assert_eq!(leaves.seen_count(), before + 1, "one of them told that it leaves; it is passed over then");
+    // Closing between commands says the same.
+    leaves.crash();
+    thread::sleep(ms(2100));
+    assert!((80..120).all(|n| pay(n).is_ok()));
+    let c = client.seen().counters;
+    assert_eq!((c.satisfied, c.calls, c.ended["leaving"]), (120, 120, 1));
+}
--- a/crates/standins/src/appliance.rs
+++ b/crates/standins/src/appliance.rs
@@ -27,6 +27,8 @@
     Fails,
     /// Turns it away at once: it never runs.
     TurnsAway,
+    /// The same, as one that leaves: 57P03, and ends the connection.
+    Leaves,
     /// Ends the connection in the place of an answer.
     Resets,
     /// Ends the connection right behind its answer.
@@ -267,7 +269,7 @@
             id: named("id").unwrap_or_default(),
             key: named("k"),
             statement: text,
-            ran: act != Act::TurnsAway,
+            ran: !matches!(act, Act::TurnsAway | Act::Leaves),
         };
         {
             let mut state = shared.state();
@@ -299,7 +301,7 @@
         let Some(Some(answer)) = answer else { return Ok(()) };
         stream.write_all(&answer).await?;
         shared.count(from, &lane, |c| c.written += answer.len() as u64);
-        if matches!(act, Act::EndsAfter | Act::HalfEnds) {
+        if matches!(act, Act::EndsAfter | Act::HalfEnds | Act::Leaves) {
             return Ok(());
         }
     }
@@ -329,6 +331,9 @@
     if act == Act::TurnsAway {
         return Some(pg::error("53300", "full"));
     }
+    if act == Act::Leaves {
+        return Some(pg::error("57P03", "leaving"));
+    }
     let (work, value) = {
         let state = shared.state();
         let work = state.ways.lanes.get(lane).copied().unwrap_or(state.ways.work);
@@ -347,7 +352,7 @@
         Act::Half | Act::HalfEnds => bytes.truncate(20),
         Act::Garbage => bytes = b"\0\xff\xff no answer at all".to_vec(),
         Act::Silent => futures_lite::future::pending().await,
-        Act::Answers | Act::TurnsAway | Act::EndsAfter => {}
+        Act::Answers | Act::TurnsAway | Act::Leaves | Act::EndsAfter => {}
     }
     Some(bytes)
 }
