--- a/crates/agent/src/commands/demo.rs
+++ b/crates/agent/src/commands/demo.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tulipwall_deployment::Door;
-use tulipwall_standins::{Caller, Lane, Link, Load, Offer, Program, Ways, World};
+use tulipwall_standins::{lanes, Caller, Link, Load, Offer, Program, Ways, World};
 use tulipwall_zones::Document;
 
 const ZONES: [&str; 2] = ["akl-east", "akl-west"];
@@ -54,10 +54,7 @@
 
 /// Plays it; whether every command had its answer.
 fn play(rate: f64) -> io::Result<bool> {
-    let lane = Lane::new;
-    let lanes =
-        vec![lane("view", "repeatable", 3.0), lane("send", "by_key", 3.0), lane("payment", "once", 9.0)];
-    let world = Arc::new(World::new(&ZONES, lanes)?);
+    let world = Arc::new(World::new(&ZONES, lanes())?);
     for (zone, name) in ZONES.iter().enumerate() {
         for n in 0..EACH {
             world.appliance(zone, &format!("{name}-{n}"), 41, ways())?;
--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -49,17 +49,7 @@
 
 impl Counters {
     pub fn end(&self, outcome: Outcome) {
-        let kind = match outcome {
-            Outcome::Satisfied => 0,
-            Outcome::Failed => 1,
-            Outcome::TurnedAway => 2,
-            Outcome::TimedOut => 3,
-            Outcome::NoConnection => 4,
-            Outcome::Broken => 5,
-            Outcome::Withdrawn => 6,
-            Outcome::NotSent => 7,
-        };
-        self.ended[kind].add();
+        self.ended[tulipwall_zones::place(outcome)].add();
     }
 }
 
--- a/crates/agent/tests/client.rs
+++ b/crates/agent/tests/client.rs
@@ -9,11 +9,9 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
-use tulipwall_client::{
-    Answered, Call, Client, Connections, Group, Lane, Repeats, Retrying, Service, Unanswered,
-};
+use tulipwall_client::{Answered, Call, Client, Connections, Group, Repeats, Retrying, Service, Unanswered};
 use tulipwall_standins::ground::{sleep, spawn, until};
-use tulipwall_standins::{pg, Act, Caller, Cut, Cutter, Program, Speaker, Ways, World};
+use tulipwall_standins::{lanes, pg, service, Act, Caller, Cut, Cutter, Program, Speaker, Ways, World};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_tulipwall-agent");
 /// What a call may take beyond its expiry on a machine that is busy with many others.
@@ -24,10 +22,7 @@
 }
 
 fn world(work: Duration) -> World {
-    let lane = tulipwall_standins::Lane::new;
-    let lanes =
-        vec![lane("view", "repeatable", 3.0), lane("send", "by_key", 3.0), lane("payment", "once", 9.0)];
-    let world = World::new(&["a"], lanes).unwrap();
+    let world = World::new(&["a"], lanes()).unwrap();
     for n in 0..2 {
         world.appliance(0, &format!("s-{n}"), 41, Ways { work, ..Ways::default() }).unwrap();
     }
@@ -40,17 +35,6 @@
     program
 }
 
-fn service(agents: Vec<SocketAddr>) -> Service {
-    let lane = |name: &str, repeats, benefit| Lane { name: name.into(), repeats, quoted: ms(400), benefit };
-    let keyed = Repeats::Deduplicated { group: Group::All, window: Duration::from_secs(5) };
-    let lanes = vec![
-        lane("view", Repeats::Idempotent, 3.0),
-        lane("send", keyed, 3.0),
-        lane("payment", Repeats::Unrepeatable, 9.0),
-    ];
-    Service::new(agents, lanes)
-}
-
 /// Bytes that an agent sends before its first answer.
 fn welcome(agent: SocketAddr) -> usize {
     let mut stream = std::net::TcpStream::connect(agent).unwrap();
--- a/crates/agent/tests/zones.rs
+++ b/crates/agent/tests/zones.rs
@@ -16,11 +16,6 @@
     Duration::from_millis(n)
 }
 
-fn lanes() -> Vec<Lane> {
-    let lane = Lane::new;
-    vec![lane("view", "repeatable", 3.0), lane("send", "by_key", 3.0), lane("payment", "once", 9.0)]
-}
-
 /// Two zones, three appliances in each, the far ones 8 ms away.
 fn world(near: Ways, far: Ways) -> World {
     let world = World::new(&["akl-east", "akl-west"], lanes()).unwrap();
--- a/crates/client/examples/measure.rs
+++ b/crates/client/examples/measure.rs
@@ -13,9 +13,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tulipwall_client::{Call, Client, Group, Lane, Repeats, Service};
+use tulipwall_client::{Call, Client};
 use tulipwall_standins::ground::{sleep, spawn};
-use tulipwall_standins::{pg, Appliance, Program, Ways, World};
+use tulipwall_standins::{lanes, pg, service, Appliance, Program, Ways, World};
 
 const CLIENTS: usize = 200;
 const EXPIRY: Duration = Duration::from_millis(1500);
@@ -24,22 +24,8 @@
     Duration::from_millis(n)
 }
 
-fn service(agents: Vec<SocketAddr>) -> Service {
-    let lane = |name: &str, repeats, benefit| Lane { name: name.into(), repeats, quoted: ms(400), benefit };
-    let keyed = Repeats::Deduplicated { group: Group::All, window: Duration::from_secs(5) };
-    let lanes = vec![
-        lane("view", Repeats::Idempotent, 3.0),
-        lane("send", keyed, 3.0),
-        lane("payment", Repeats::Unrepeatable, 9.0),
-    ];
-    Service::new(agents, lanes)
-}
-
 fn world(work: Duration, cores: usize) -> World {
-    let lane = tulipwall_standins::Lane::new;
-    let lanes =
-        vec![lane("view", "repeatable", 3.0), lane("send", "by_key", 3.0), lane("payment", "once", 9.0)];
-    let world = World::new(&["a"], lanes).expect("loopback");
+    let world = World::new(&["a"], lanes()).expect("loopback");
     for n in 0..2 {
         let ways = Ways { work, cores, ..Ways::default() };
         world.appliance(0, &format!("s-{n}"), 41, ways).expect("loopback");
--- a/crates/deployment/src/document.rs
+++ b/crates/deployment/src/document.rs
@@ -201,6 +201,16 @@
         self.number_of(entry, node.name().value(), least, most)
     }
 
+    /// The numbers of a node, one or more.
+    pub fn numbers(&mut self, node: &KdlNode, least: f64, most: f64) -> Vec<f64> {
+        let key = node.name().value();
+        let entries: Vec<&KdlEntry> = node.entries().iter().filter(|e| e.name().is_none()).collect();
+        if entries.is_empty() {
+            self.wrong(self.of(node), key, "one number or more are wanted".into());
+        }
+        entries.into_iter().filter_map(|e| self.number_of(e, key, least, most)).collect()
+    }
+
     /// A number given as a property; `other` where it is not.
     pub fn property(&mut self, node: &KdlNode, key: &str, other: f64, most: f64) -> f64 {
         match node.entry(key) {
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -6,7 +6,7 @@
 mod instance;
 mod service;
 
-pub use document::Mistake;
+pub use document::{Mistake, Place, Reader};
 pub use fields::{millis, span, Fields};
 pub use installation::{Door, Installation, LogForm, UNNAMED};
 pub use instance::Instance;
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,416 @@
+//! A scenario: the world, what varies, and over how many seeds.
+
+use kdl::KdlNode;
+use std::time::Duration;
+use tulipwall::{Group, Repeats};
+use tulipwall_deployment::{Mistake, Place, Reader};
+
+/// What may vary. Numbers but for `clients` and `routing`.
+pub const KEYS: [&str; 9] =
+    ["agents", "rate", "slowness", "fails", "clients", "routing", "share", "step", "spread"];
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    pub name: String,
+    pub seeds: u64,
+    pub span: Duration,
+    /// Commands a second, over all agents.
+    pub rate: f64,
+    pub agents: usize,
+    /// Of agents' parts of the load: 0 for equal ones, 1 for the largest twice the mean.
+    pub spread: f64,
+    pub lanes: Vec<Lane>,
+    pub zones: Vec<Zone>,
+    /// One way each, from zone to zone; others take half a millisecond.
+    pub ways: Vec<(usize, usize, Duration)>,
+    pub clients: ClientKind,
+    pub near_first: bool,
+    /// A budget for crossing, as a share of what is taken.
+    pub share: Option<f64>,
+    pub offer: Option<Offer>,
+    pub faults: Vec<Fault>,
+    pub vary: Vec<Vary>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Lane {
+    pub name: String,
+    pub repeats: Repeats,
+    pub work: Duration,
+    pub quoted: Duration,
+    pub expiry: Duration,
+    pub benefit: f64,
+    pub weight: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zone {
+    pub name: String,
+    pub appliances: usize,
+    pub cores: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientKind {
+    Open,
+    Naive,
+    Careful,
+}
+
+/// A build that is offered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer {
+    pub at: Duration,
+    /// What its appliances take of the usual work.
+    pub slowness: f64,
+    pub fails: f64,
+    pub stages: Vec<f64>,
+    pub step: Duration,
+    /// Its appliances, in turn in each zone.
+    pub appliances: usize,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    pub at: Duration,
+    /// It ends after so long; drained and gone ones return cold.
+    pub lasts: Option<Duration>,
+    pub zone: Option<usize>,
+    /// How many of its appliances, from the first on.
+    pub most: usize,
+    pub kind: FaultKind,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum FaultKind {
+    Slow(f64),
+    Fail(f64),
+    Drain,
+    Gone,
+    Mute,
+    /// All agents stand still.
+    Stall,
+    /// The load is so many times the usual.
+    Burst(f64),
+}
+
+/// What varies, and its values.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Vary {
+    pub key: String,
+    pub values: Vec<Value>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Number(f64),
+    Word(String),
+}
+
+impl std::fmt::Display for Value {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Value::Number(n) => write!(f, "{n}"),
+            Value::Word(w) => f.write_str(w),
+        }
+    }
+}
+
+impl Scenario {
+    /// Reads a scenario's text; all that is wrong with it otherwise, in the order of its lines.
+    pub fn read(text: &str) -> Result<Scenario, Vec<Mistake>> {
+        let mut r = Reader::new(text);
+        let document = r.document();
+        let node = r.nodes(document.as_ref(), "the file", &["experiment"], &[]).first().copied();
+        let scenario = node.and_then(|node| experiment(&mut r, node));
+        if node.is_none() && r.mistakes.is_empty() {
+            r.wrong(Place { line: 1, column: 1 }, "experiment", "one is wanted".into());
+        }
+        match scenario {
+            Some(s) if r.mistakes.is_empty() => Ok(s),
+            _ => {
+                r.mistakes.sort();
+                Err(r.mistakes)
+            }
+        }
+    }
+
+    /// Every combination of what varies, the first key slowest.
+    pub fn points(&self) -> Vec<Vec<(String, Value)>> {
+        let mut points = vec![Vec::new()];
+        for v in &self.vary {
+            let with = |p: &Vec<(String, Value)>| {
+                let each = |value: &Value| [&p[..], &[(v.key.clone(), value.clone())]].concat();
+                v.values.iter().map(each).collect::<Vec<_>>()
+            };
+            points = points.iter().flat_map(with).collect();
+        }
+        points
+    }
+
+    /// The same with these values in their places.
+    pub fn at(&self, point: &[(String, Value)]) -> Scenario {
+        let mut s = self.clone();
+        for (key, value) in point {
+            match (key.as_str(), value) {
+                ("agents", Value::Number(n)) => s.agents = *n as usize,
+                ("rate", Value::Number(n)) => s.rate = *n,
+                ("spread", Value::Number(n)) => s.spread = *n,
+                ("share", Value::Number(n)) => s.share = Some(*n),
+                ("slowness", Value::Number(n)) => s.offer.iter_mut().for_each(|o| o.slowness = *n),
+                ("fails", Value::Number(n)) => s.offer.iter_mut().for_each(|o| o.fails = *n),
+                ("step", Value::Number(n)) => {
+                    s.offer.iter_mut().for_each(|o| o.step = Duration::from_secs_f64(*n));
+                }
+                ("clients", Value::Word(w)) => s.clients = kind(w).unwrap_or(s.clients),
+                ("routing", Value::Word(w)) => s.near_first = w == "near-first",
+                _ => {}
+            }
+        }
+        s
+    }
+
+    /// Bytes that one run takes at most, about: what agents know of appliances, and what is in flight.
+    pub fn memory(&self) -> f64 {
+        let nodes = self.zones.iter().map(|z| z.appliances).sum::<usize>()
+            + self.offer.as_ref().map_or(0, |o| o.appliances);
+        let (agents, lanes) = (self.agents as f64, self.lanes.len() as f64);
+        let known = agents * nodes as f64 * (400.0 + 40.0 * lanes);
+        // Each second has a histogram, each agent each second its counts.
+        let seconds = self.span.as_secs_f64() + 1.0;
+        let longest = self.lanes.iter().map(|l| l.expiry.as_secs_f64()).fold(0.0, f64::max);
+        known + seconds * 200_000.0 + agents * seconds * 40.0 + self.rate * longest * 2000.0
+    }
+}
+
+fn kind(word: &str) -> Option<ClientKind> {
+    let kinds = [("open", ClientKind::Open), ("naive", ClientKind::Naive), ("careful", ClientKind::Careful)];
+    kinds.into_iter().find(|k| k.0 == word).map(|k| k.1)
+}
+
+fn experiment(r: &mut Reader, node: &KdlNode) -> Option<Scenario> {
+    let name = r.arguments(node, 1, &[]).into_iter().find_map(|e| r.text_of(e, "experiment"))?;
+    let mut s = Scenario {
+        name,
+        seeds: 5,
+        span: Duration::from_secs(30),
+        rate: 500.0,
+        agents: 3,
+        spread: 0.0,
+        lanes: Vec::new(),
+        zones: Vec::new(),
+        ways: Vec::new(),
+        clients: ClientKind::Open,
+        near_first: false,
+        share: None,
+        offer: None,
+        faults: Vec::new(),
+        vary: Vec::new(),
+    };
+    let once = ["seeds", "span", "rate", "agents", "spread", "clients", "routing", "share", "offer"];
+    let nodes = r.nodes(node.children(), "experiment", &once, &["lane", "zone", "way", "fault", "vary"]);
+    // Zones first: others name them.
+    for node in nodes.iter().filter(|n| n.name().value() == "zone") {
+        let at = r.of(node);
+        let Some(zone) = zone(r, node) else { continue };
+        if s.zones.iter().any(|z| z.name == zone.name) {
+            r.wrong(at, "zone", format!("the name '{}' stands twice", zone.name));
+        }
+        s.zones.push(zone);
+    }
+    for node in nodes {
+        match node.name().value() {
+            "seeds" => s.seeds = r.number(node, 1.0, 10_000.0).map_or(5, |n| n as u64),
+            "span" => s.span = r.span(node, Duration::from_secs(1)).unwrap_or(s.span),
+            "rate" => s.rate = r.number(node, 0.1, 1e7).unwrap_or(s.rate),
+            "agents" => s.agents = r.number(node, 1.0, 1e5).map_or(3, |n| n as usize),
+            "spread" => s.spread = r.number(node, 0.0, 1.0).unwrap_or(0.0),
+            "clients" => {
+                let kinds = [ClientKind::Open, ClientKind::Naive, ClientKind::Careful];
+                s.clients =
+                    r.word(node, &["open", "naive", "careful"]).map_or(ClientKind::Open, |n| kinds[n]);
+            }
+            "routing" => s.near_first = r.word(node, &["as-ever", "near-first"]) == Some(1),
+            "share" => s.share = r.number(node, 0.0, 1.0),
+            "offer" => s.offer = Some(offer(r, node)),
+            "lane" => s.lanes.extend(lane(r, node)),
+            "way" => s.ways.extend(way(r, node, &s.zones)),
+            "fault" => s.faults.extend(fault(r, node, &s.zones)),
+            "vary" => s.vary.extend(vary(r, node)),
+            _ => {}
+        }
+    }
+    for (key, missing) in [("lane", s.lanes.is_empty()), ("zone", s.zones.is_empty())] {
+        if missing && !r.mistakes.iter().any(|m| m.key == key) {
+            r.wrong(r.of(node), key, "one or more are wanted".into());
+        }
+    }
+    let offers = ["slowness", "fails", "step"];
+    if s.offer.is_none() && s.vary.iter().any(|v| offers.contains(&v.key.as_str())) {
+        r.wrong(r.of(node), "vary", "an offer is wanted for what varies of it".into());
+    }
+    Some(s)
+}
+
+fn zone(r: &mut Reader, node: &KdlNode) -> Option<Zone> {
+    let name = r.arguments(node, 1, &[]).into_iter().find_map(|e| r.text_of(e, "zone"))?;
+    let mut zone = Zone { name, appliances: 1, cores: 1 };
+    for node in r.nodes(node.children(), "zone", &["appliances", "cores"], &[]) {
+        let count = r.number(node, 0.0, 1e5).map_or(1, |n| n as usize);
+        match node.name().value() {
+            "appliances" => zone.appliances = count,
+            _ => zone.cores = count.max(1),
+        }
+    }
+    Some(zone)
+}
+
+fn lane(r: &mut Reader, node: &KdlNode) -> Option<Lane> {
+    let name = r.arguments(node, 1, &[]).into_iter().find_map(|e| r.text_of(e, "lane"))?;
+    let ms = Duration::from_millis;
+    let mut lane = Lane {
+        name,
+        repeats: Repeats::Idempotent,
+        work: ms(20),
+        quoted: ms(400),
+        expiry: ms(1500),
+        benefit: 1.0,
+        weight: 1.0,
+    };
+    let known = ["repeats", "work", "quoted", "expiry", "benefit", "weight"];
+    for node in r.nodes(node.children(), "lane", &known, &[]) {
+        match node.name().value() {
+            "repeats" => {
+                let window = Duration::from_secs(3);
+                let kinds = [
+                    Repeats::Idempotent,
+                    Repeats::Deduplicated { group: Group::All, window },
+                    Repeats::Unrepeatable,
+                ];
+                let word = r.word(node, &["idempotent", "deduplicated", "unrepeatable"]);
+                lane.repeats = word.map_or(lane.repeats, |n| kinds[n]);
+            }
+            "work" => lane.work = r.span(node, Duration::from_micros(1)).unwrap_or(lane.work),
+            "quoted" => lane.quoted = r.span(node, ms(1)).unwrap_or(lane.quoted),
+            "expiry" => lane.expiry = r.span(node, ms(1)).unwrap_or(lane.expiry),
+            "benefit" => lane.benefit = r.number(node, 0.0, 1e9).unwrap_or(1.0),
+            _ => lane.weight = r.number(node, 0.0, 1e9).unwrap_or(1.0),
+        }
+    }
+    Some(lane)
+}
+
+fn named(r: &mut Reader, at: Place, key: &str, name: &str, zones: &[Zone]) -> Option<usize> {
+    let found = zones.iter().position(|z| z.name == name);
+    if found.is_none() {
+        let known: Vec<&str> = zones.iter().map(|z| z.name.as_str()).collect();
+        r.wrong(at, key, format!("no zone '{name}'; known are {}", known.join(", ")));
+    }
+    found
+}
+
+fn way(r: &mut Reader, node: &KdlNode, zones: &[Zone]) -> Option<(usize, usize, Duration)> {
+    let at = r.of(node);
+    let ends: Vec<String> =
+        r.arguments(node, 2, &[]).into_iter().filter_map(|e| r.text_of(e, "way")).collect();
+    let delay = r.nodes(node.children(), "way", &["delay"], &[]).first().copied();
+    let delay = delay.and_then(|n| r.span(n, Duration::ZERO));
+    let [from, to]: [String; 2] = ends.try_into().ok()?;
+    let ends = (named(r, at, "way", &from, zones), named(r, at, "way", &to, zones));
+    if delay.is_none() {
+        r.wrong(at, "way", "a delay is wanted in it".into());
+    }
+    Some((ends.0?, ends.1?, delay?))
+}
+
+fn offer(r: &mut Reader, node: &KdlNode) -> Offer {
+    r.arguments(node, 0, &[]);
+    let secs = Duration::from_secs;
+    let mut o = Offer {
+        at: secs(5),
+        slowness: 1.0,
+        fails: 0.0,
+        stages: vec![0.1, 0.5, 1.0],
+        step: secs(5),
+        appliances: 3,
+    };
+    for node in
+        r.nodes(node.children(), "offer", &["at", "slowness", "fails", "stages", "step", "appliances"], &[])
+    {
+        match node.name().value() {
+            "at" => o.at = r.span(node, Duration::ZERO).unwrap_or(o.at),
+            "slowness" => o.slowness = r.number(node, 0.1, 100.0).unwrap_or(1.0),
+            "fails" => o.fails = r.number(node, 0.0, 1.0).unwrap_or(0.0),
+            "step" => o.step = r.span(node, Duration::from_millis(100)).unwrap_or(o.step),
+            "appliances" => o.appliances = r.number(node, 1.0, 1e5).map_or(3, |n| n as usize),
+            _ => {
+                let caps = r.numbers(node, 0.0, 1.0);
+                o.stages = if caps.is_empty() { o.stages } else { caps };
+            }
+        }
+    }
+    o
+}
+
+fn fault(r: &mut Reader, node: &KdlNode, zones: &[Zone]) -> Option<Fault> {
+    let at = r.of(node);
+    r.arguments(node, 0, &[]);
+    let mut f =
+        Fault { at: Duration::ZERO, lasts: None, zone: None, most: usize::MAX, kind: FaultKind::Drain };
+    let mut kinds = Vec::new();
+    let known = ["at", "for", "zone", "appliances", "slow", "fail", "burst", "kind"];
+    for node in r.nodes(node.children(), "fault", &known, &[]) {
+        let place = r.of(node);
+        match node.name().value() {
+            "at" => f.at = r.span(node, Duration::ZERO)?,
+            "for" => f.lasts = r.span(node, Duration::from_millis(1)),
+            "zone" => f.zone = r.text(node).and_then(|name| named(r, place, "zone", &name, zones)),
+            "appliances" => f.most = r.number(node, 1.0, 1e5).map_or(usize::MAX, |n| n as usize),
+            "slow" => kinds.extend(r.number(node, 0.01, 1e4).map(FaultKind::Slow)),
+            "fail" => kinds.extend(r.number(node, 0.0, 1.0).map(FaultKind::Fail)),
+            "burst" => kinds.extend(r.number(node, 0.0, 1e4).map(FaultKind::Burst)),
+            _ => {
+                let all = [FaultKind::Drain, FaultKind::Gone, FaultKind::Mute, FaultKind::Stall];
+                kinds.extend(r.word(node, &["drain", "gone", "mute", "stall"]).map(|n| all[n]));
+            }
+        }
+    }
+    if kinds.len() != 1 {
+        r.wrong(at, "fault", "one of slow, fail, burst or kind is wanted in it".into());
+    }
+    f.kind = kinds.first().copied()?;
+    Some(f)
+}
+
+fn vary(r: &mut Reader, node: &KdlNode) -> Option<Vary> {
+    let mut entries = node.entries().iter().filter(|e| e.name().is_none());
+    let at = r.of(node);
+    let Some(key) = entries.next().and_then(|e| r.text_of(e, "vary")) else {
+        r.wrong(at, "vary", "a key and its values are wanted".into());
+        return None;
+    };
+    if !KEYS.contains(&key.as_str()) {
+        r.wrong(at, "vary", format!("'{key}' is not among {}", KEYS.join(", ")));
+        return None;
+    }
+    let mut values = Vec::new();
+    for entry in entries {
+        let word =
+            |words: &[&str]| entry.value().as_string().filter(|w| words.contains(w)).map(str::to_owned);
+        let value = match key.as_str() {
+            "clients" => word(&["open", "naive", "careful"]).map(Value::Word),
+            "routing" => word(&["as-ever", "near-first"]).map(Value::Word),
+            "agents" => r.number_of(entry, "vary", 1.0, 1e5).map(Value::Number),
+            _ => r.number_of(entry, "vary", 0.0, 1e7).map(Value::Number),
+        };
+        if value.is_none() && matches!(key.as_str(), "clients" | "routing") {
+            r.wrong(at, "vary", format!("a word that {key} does not have"));
+        }
+        values.extend(value);
+    }
+    if values.is_empty() {
+        r.wrong(at, "vary", "one value or more are wanted".into());
+        return None;
+    }
+    Some(Vary { key, values })
+}
--- /dev/null
+++ b/crates/lab/tests/load.rs
@@ -0,0 +1,61 @@
+//! The load tool against a stand-in that speaks as an agent does, and whose limit is known.
+
+use std::process::Command;
+use std::time::Duration;
+use tulipwall_lab::load::Plan;
+use tulipwall_standins::{Act, Appliance, Ways};
+
+fn plan(of: &Appliance) -> Plan {
+    let view = ("view".to_owned(), 1.0, Duration::from_millis(1500), false);
+    Plan { agent: of.address(0), lanes: vec![view], connections: 200, seed: 1 }
+}
+
+fn of(cores: usize) -> Appliance {
+    Appliance::start(1, Ways { work: Duration::from_millis(20), cores, ..Ways::default() }, 1).unwrap()
+}
+
+#[test]
+fn times_count_from_when_a_command_was_due() {
+    // One core takes 50 a second; at 100 the queue grows by a second in each two. Times that counted from the
+    // sending on a free connection would hide that.
+    let agent = of(1);
+    let step = Plan { connections: 1, ..plan(&agent) }.step(100.0, Duration::from_secs(1));
+    assert!(step.answered.quantile_ms(0.9) > 400.0, "{}", step.line());
+    assert!(!step.limited(), "it went out late by the agent's fault alone: {}", step.line());
+}
+
+#[test]
+fn the_search_finds_the_rate_that_an_agent_keeps() {
+    // Four cores of 20 ms: 200 a second at the very most.
+    let agent = of(4);
+    let mut steps = 0;
+    let found = plan(&agent).limit(40.0, 1600.0, Duration::from_millis(1200), 120.0, |_| steps += 1);
+    let found = found.unwrap();
+    assert!((80.0..=220.0).contains(&found) && steps < 16, "{found} after {steps} steps");
+    assert_eq!(plan(&agent).limit(40.0, 80.0, Duration::from_millis(300), 1.0, |_| {}), None);
+}
+
+#[test]
+fn each_step_is_a_line_of_json_with_what_was_not_answered() {
+    let agent = Appliance::start(1, Ways { act: Act::TurnsAway, ..Ways::default() }, 1).unwrap();
+    let run = |arguments: &[&str]| {
+        let address = agent.address(0).to_string();
+        Command::new(env!("CARGO_BIN_EXE_tulipwall-lab"))
+            .args(["load", &address])
+            .args(arguments)
+            .output()
+            .unwrap()
+    };
+    let out = run(&["--lane", "view=2", "--lane", "send=1+k", "--rate", "50", "--seconds", "1", "--json"]);
+    assert!(out.status.success());
+    let told: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
+    assert_eq!(told["asked"], told["denied"]);
+    assert_eq!(
+        (told["satisfied"].as_u64(), told["load_is_the_bottleneck"].as_bool()),
+        (Some(0), Some(false))
+    );
+    assert!(agent.seen().iter().any(|s| s.lane == "send" && s.key.is_some()));
+    assert_eq!(run(&["--lane", "view=x"]).status.code(), Some(2));
+    agent.crash();
+    assert_eq!(run(&["--lane", "view", "--seconds", "1"]).status.code(), Some(1));
+}
--- /dev/null
+++ b/crates/lab/tests/model.rs
@@ -0,0 +1,178 @@
+//! Whether the model is right: against published formulas, against itself, and with the rules broken on purpose.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tulipwall::*;
+use tulipwall_lab::records::{self, Head, Records};
+use tulipwall_lab::run;
+use tulipwall_lab::scenario::Scenario;
+use tulipwall_standins::day::{Change, Played};
+
+fn scenario(body: &str) -> Scenario {
+    let text = format!("experiment \"t\" {{\n{body}\n}}\n");
+    Scenario::read(&text).unwrap_or_else(|all| panic!("{all:?}"))
+}
+
+const LANES: &str = "lane \"view\" { weight 0.45; benefit 3; }
+lane \"send\" { repeats \"deduplicated\"; weight 0.45; benefit 3; }
+lane \"payment\" { repeats \"unrepeatable\"; weight 0.1; work \"30ms\"; benefit 9; expiry \"2s\"; quoted \"750ms\"; }";
+
+fn two_zones(more: &str) -> Scenario {
+    scenario(&format!(
+        "span \"20s\"; rate 600\nzone \"a\" {{ appliances 4; cores 4; }}\nzone \"b\" {{ appliances 4; cores 4; }}\n\
+         way \"a\" \"b\" {{ delay \"2ms\"; }}\nway \"b\" \"a\" {{ delay \"2ms\"; }}\n{LANES}\n{more}"
+    ))
+}
+
+#[test]
+fn one_appliance_waits_as_the_formula_of_pollaczek_and_khinchine_says() {
+    // One core, Poisson arrivals; work is 0.4 of its mean and 0.6 of it exponential: squared variation 0.36.
+    let s = scenario(
+        "span \"400s\"; rate 30; agents 1; seeds 1\nzone \"a\" { appliances 1; cores 1; }\n\
+         lane \"view\" { work \"20ms\"; quoted \"100s\"; expiry \"200s\"; repeats \"unrepeatable\"; }",
+    );
+    let p = run::day(&s, 3).play();
+    assert!(p.broken.is_empty() && p.denied + p.scrapped == 0, "{:?} {} {}", p.broken, p.denied, p.scrapped);
+    let (work, load) = (0.020, 30.0 * 0.020);
+    let wait = load * work * (1.0 + 0.36) / (2.0 * (1.0 - load));
+    let wanted = (work + wait + 0.0003) * 1000.0;
+    let mean = p.times.mean() / 1000.0;
+    assert!((mean / wanted - 1.0).abs() < 0.05, "{mean:.2} ms, {wanted:.2} by the formula");
+}
+
+#[test]
+fn two_choices_leave_shorter_queues_than_one_would() {
+    // Ten appliances of one core at 0.7: by chance alone each is an M/G/1 queue; two choices wait far less
+    // (Mitzenmacher 2001: the longest queues fall from log n to log log n).
+    let s = scenario(
+        "span \"60s\"; rate 350; agents 1\nzone \"a\" { appliances 10; cores 1; }\n\
+         lane \"view\" { work \"20ms\"; quoted \"100s\"; expiry \"200s\"; repeats \"unrepeatable\"; }",
+    );
+    let p = run::day(&s, 4).play();
+    let (work, load) = (0.020, 0.7);
+    let alone = load * work * 1.36 / (2.0 * (1.0 - load)) * 1000.0;
+    let waits = p.times.mean() / 1000.0 - 20.3;
+    assert!(waits < alone * 0.5, "{waits:.2} ms of waiting, {alone:.2} ms where one is drawn");
+}
+
+#[test]
+fn equal_seeds_are_equal_to_the_letter_and_other_seeds_are_not() {
+    let s = two_zones("routing \"near-first\"; share 0.05");
+    let values = Vec::new();
+    let (one, two) = (run::run(&s, 0, &values, 7), run::run(&s, 0, &values, 7));
+    assert_eq!(one, two);
+    assert_ne!(one.digest, run::run(&s, 0, &values, 8).digest);
+    let threads: Vec<_> = (0..4)
+        .map(|_| {
+            let s = s.clone();
+            std::thread::spawn(move || run::run(&s, 0, &[], 7).digest)
+        })
+        .collect();
+    assert!(threads.into_iter().all(|t| t.join().unwrap() == one.digest), "on any number of threads");
+}
+
+fn broken(p: &Played, rule: &str) -> bool {
+    p.broken.iter().any(|b| b.starts_with(rule))
+}
+
+#[test]
+fn a_seeded_break_of_each_rule_is_caught_from_outside() {
+    let good = |s: &Scenario| run::day(s, 1).play();
+    assert!(good(&two_zones("")).broken.is_empty());
+    // 1: an agent that stands still past the expiry of what it has and is killed there.
+    let mut d = run::day(&two_zones(""), 1);
+    d.script.push((Duration::from_secs(19), Change::Stalls(0, Duration::from_secs(60))));
+    assert!(broken(&d.play(), "rule 1"), "an answer that never comes");
+    // 2: the decisions think that payments repeat; the checker does not.
+    let mut d = run::day(&two_zones("fault { at \"2s\"; fail 0.5; }"), 1);
+    d.lies.repeats = BTreeMap::from([(2, Repeats::Idempotent)]);
+    assert!(broken(&d.play(), "rule 2"), "a payment that runs twice");
+    // 3: agents are not told of a drain.
+    let mut d = run::day(&two_zones("fault { at \"2s\"; kind \"drain\"; appliances 2; }"), 1);
+    d.lies.deaf = true;
+    assert!(broken(&d.play(), "rule 3"), "a delivery to a draining appliance");
+    // 4: agents are not told that an appliance is cold, and are too many to see it each.
+    let cold = "agents 80\nfault { at \"2s\"; for \"1s\"; kind \"gone\"; appliances 3; }\nfault { at \"3s\"; burst 3; }";
+    let mut d = run::day(&two_zones(cold), 1);
+    (d.lies.warm, d.deployment.cold_share, d.deployment.cold_for) = (true, 0.01, Duration::from_secs(20));
+    assert!(broken(&d.play(), "rule 4"), "a cold appliance that gets too much");
+    // 5: agents are told a higher cap than holds.
+    let offer = "offer { at \"2s\"; stages 0.05 1; appliances 4; step \"8s\"; }";
+    let mut d = run::day(&two_zones(offer), 1);
+    d.lies.cap = Some(1.0);
+    assert!(broken(&d.play(), "rule 5"), "a build on trial that gets more than its cap");
+}
+
+#[test]
+fn naive_retries_keep_a_fleet_down_where_careful_ones_let_it_come_back() {
+    let after = |clients: &str| {
+        let s = two_zones(&format!("clients \"{clients}\"\nfault {{ at \"6s\"; for \"4s\"; slow 6; }}"));
+        let record = run::run(&s, 0, &[], 2);
+        assert!(record.broken.is_empty(), "{:?}", record.broken);
+        (record.figures["good"], record.figures["taken_over_asked"])
+    };
+    let ((naive, multiplied), (careful, spared)) = (after("naive"), after("careful"));
+    assert!(multiplied > spared + 0.1, "{multiplied} and {spared} commands for each that was wanted");
+    assert!(careful > naive - 0.02, "{careful} and {naive}");
+}
+
+#[test]
+fn a_thousand_agents_and_five_hundred_appliances_fit_and_numbers_of_agents_may_dwarf_the_commands() {
+    let s = scenario(
+        "span \"2s\"; rate 4000; agents 1000\nzone \"a\" { appliances 250; cores 4; }\n\
+         zone \"b\" { appliances 250; cores 4; }\nlane \"view\" { work \"10ms\"; }",
+    );
+    let record = run::run(&s, 0, &[], 1);
+    assert!(record.broken.is_empty() && record.figures["good"] > 0.99, "{:?}", record.figures);
+    let few = scenario(
+        "span \"5s\"; rate 20; agents 2000\nzone \"a\" { appliances 4; cores 1; }\nlane \"view\" { }",
+    );
+    let record = run::run(&few, 0, &[], 1);
+    assert!(record.broken.is_empty() && record.figures["good"] > 0.98, "{:?}", record.figures);
+}
+
+#[test]
+fn records_go_on_where_they_were_and_torn_ones_are_done_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("r.records");
+    let s = two_zones("");
+    let head = || Head::of("t", "text");
+    let mut file = Records::open(&path, head()).unwrap();
+    for seed in 1..=3 {
+        file.add(run::run(&s, 0, &[], seed)).unwrap();
+    }
+    let all = file.all.clone();
+    drop(file);
+    let bytes = std::fs::read(&path).unwrap();
+    std::fs::write(&path, &bytes[..bytes.len() - 40]).unwrap();
+    let file = Records::open(&path, head()).unwrap();
+    assert_eq!(file.all, all[..2]);
+    assert!(file.has(0, 2) && !file.has(0, 3));
+    let other = Records::open(&path, Head::of("t", "another text"));
+    assert!(other.is_err_and(|e| e.contains("another scenario")));
+    assert_eq!(records::read(&path).unwrap().1.len(), 2);
+    std::fs::write(&path, "nonsense\n").unwrap();
+    assert!(records::read(&path).is_err_and(|e| e.contains(":1: no head")));
+}
+
+#[test]
+fn a_scenario_that_is_wrong_gets_line_column_and_key() {
+    let text = "experiment \"x\" {\n  rte 5\n  zone \"a\" { appliances -1; }\n  way \"a\" \"c\" { delay \"1ms\"; }\n\
+        \n  fault { at \"2s\"; }\n  vary \"agnts\" 1 2\n  vary \"slowness\" 1 2\n  clients \"wild\"\n}\n";
+    let all: Vec<String> = Scenario::read(text).unwrap_err().iter().map(|m| m.to_string()).collect();
+    for wanted in [
+        "2:3: rte: unknown in experiment; did you mean 'rate'?",
+        "3:25: appliances: a number from 0 to 100000 is wanted",
+        "4:3: way: no zone 'c'; known are a",
+        "6:3: fault: one of slow, fail, burst or kind is wanted in it",
+        "7:3: vary: 'agnts' is not among agents, rate",
+        "9:3: clients: one of open, naive, careful is wanted",
+        "1:1: lane: one or more are wanted",
+        "1:1: vary: an offer is wanted for what varies of it",
+    ] {
+        assert!(all.iter().any(|m| m.starts_with(wanted)), "{wanted}\nin {all:#?}");
+    }
+    assert!(Scenario::read("").is_err());
+    let huge = two_zones("agents 100000").memory();
+    assert!(huge > 1e8 && two_zones("").memory() < 1e8, "{huge}");
+}
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -8,7 +8,10 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 use tulipwall::*;
-use tulipwall_zones::{Ended, Flaw, Opening, Sending, Ticket, Zones, Zoning};
+use tulipwall_calls::{Ended as TryEnded, Next, Retries, Retrying, Tries};
+use tulipwall_zones::{
+    Budget, Ended, Flaw, LaneView, Link, Opening, Routing, Sending, Ticket, Zones, Zoning,
+};
 
 /// Time at which a day begins, so that what began before has a time, too.
 pub const ZERO: Duration = Duration::from_secs(3600);
@@ -62,6 +65,112 @@
     pub zoning: Option<Zoning>,
 }
 
+/// What clients do with a command that was denied or failed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Clients {
+    /// Nothing: each command is asked for once.
+    Open,
+    /// Ask again after a fixed pause, so many times in all, whatever happened and whatever it costs.
+    Naive { pause: Duration, tries: u32 },
+    /// As the client library does, one client to each agent.
+    Careful(Retrying),
+}
+
+/// A build that the platform takes through its stages by the clock, which stands still while a hold lasts.
+#[derive(Clone, Debug)]
+pub struct Offering {
+    pub build: u32,
+    pub at: Duration,
+    pub caps: Vec<f64>,
+    pub step: Duration,
+    /// Its appliances, which start in equal parts with the stages. Until then they must be listed as gone.
+    pub nodes: Vec<usize>,
+    /// Agents that must vote to send back.
+    pub back_votes: usize,
+}
+
+/// What the agents are told wrongly, so that they break a rule and the checkers must see it. Nothing by default.
+#[derive(Clone, Debug, Default)]
+pub struct Lies {
+    /// How lanes repeat, as the decisions think.
+    pub repeats: BTreeMap<usize, Repeats>,
+    /// Nothing that drains or goes is told.
+    pub deaf: bool,
+    /// Cold appliances are told as warm.
+    pub warm: bool,
+    /// The cap that is told in the place of the one that holds.
+    pub cap: Option<f64>,
+}
+
+/// The lanes of a small service: idempotent views, messages deduplicated among all, payments that never repeat.
+pub fn lanes() -> Vec<Lane> {
+    let lane = |quoted, benefit, repeats| Lane { quoted: Duration::from_millis(quoted), benefit, repeats };
+    let keyed = Repeats::Deduplicated { group: Group::All, window: Duration::from_secs(3) };
+    vec![lane(400, 3.0, Repeats::Idempotent), lane(400, 3.5, keyed), lane(750, 9.0, Repeats::Unrepeatable)]
+}
+
+/// A deployment for days: crossing is priced, builds stand beside each other and pass by the clock, second copies
+/// and withdrawals are allowed, a time to come back may be named.
+pub fn deployment(lanes: Vec<Lane>) -> Deployment {
+    let secs = Duration::from_secs;
+    Deployment {
+        seed: 0,
+        agents: 1,
+        zone: 0,
+        lanes,
+        customers: Vec::new(),
+        benefit_by_work: false,
+        list_asked: false,
+        ask_within: secs(10),
+        second_copies: true,
+        withdraw: true,
+        come_back: Some(secs(2)),
+        deliveries: 5,
+        crossing_price: 0.04,
+        cold_share: 0.3,
+        cold_for: secs(4),
+        fall_for: secs(2),
+        tick: Duration::from_millis(1),
+        rollout: Rollout {
+            caps: vec![0.08, 0.25, 0.6, 1.0],
+            free: 2.0,
+            by_lane: false,
+            guarded_stages: 0,
+            one_way: false,
+            by_clock: true,
+            in_place: false,
+            back_votes: 1,
+            vote_life: secs(10),
+            vote_wait: Duration::from_millis(800),
+            votes_per_s: 120.0,
+            flagged_share: 0.3,
+        },
+    }
+}
+
+/// Zones for an agent in `own` of so many, routed near first, without prices.
+pub fn zoning(lanes: &[Lane], own: usize, zones: usize, budgets: Vec<Budget>) -> Zoning {
+    Zoning {
+        own,
+        zones,
+        lanes: lanes.iter().map(|l| LaneView { benefit: l.benefit, quoted: l.quoted }).collect(),
+        links: vec![Link::default(); zones + 1],
+        budgets,
+        routing: Routing::NearFirst,
+    }
+}
+
+/// What became of an offered build.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Offered {
+    /// When the first hold came, from the day's beginning, and in which stage.
+    pub held: Option<(Duration, usize)>,
+    pub back: Option<Duration>,
+    pub released: Option<Duration>,
+    /// How long holds stopped the clock.
+    pub stood: Duration,
+}
+
 /// Something that happens.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -93,6 +202,11 @@
     /// Weights of lanes, and how long a command of each may take.
     pub lanes: Vec<(f64, Duration)>,
     pub rate: f64,
+    pub clients: Clients,
+    pub offering: Option<Offering>,
+    pub lies: Lies,
+    /// A command of an agent whose life is written down: agent and number.
+    pub watch: Option<(usize, u64)>,
     pub span: Duration,
     pub news: Option<News>,
     /// When, counted from the day's beginning, in any order.
@@ -104,6 +218,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Second {
     pub taken: u64,
+    /// Commands that came for the first time, and those of them satisfied within their quoted time.
+    pub asked: u64,
+    pub good: u64,
     pub near: u64,
     pub far: u64,
 }
@@ -127,6 +244,11 @@
     /// Broken rules.
     pub broken: Vec<String>,
     pub votes: Vec<(Duration, Vote)>,
+    pub offered: Offered,
+    /// The life of the command that was watched.
+    pub life: Vec<String>,
+    /// Events that were played.
+    pub events: u64,
     /// Sends by appliance.
     pub sends: Vec<u64>,
     /// The agents' zones at the end.
@@ -192,12 +314,38 @@
 enum What {
     Script(usize),
     Arrive(usize),
+    /// A client asks once more: agent, and the place of what it asks for.
+    Again(usize, usize),
+    Stage,
     Tick(usize),
-    Reach { agent: usize, id: u64, nth: usize, node: usize, life: u64 },
-    Done { node: usize, life: u64, slot: u64 },
-    Back { agent: usize, id: u64, nth: usize, how: How },
-    Look { agent: usize, id: u64, at: Duration },
-    TimeOut { agent: usize, id: u64, nth: usize },
+    Reach {
+        agent: usize,
+        id: u64,
+        nth: usize,
+        node: usize,
+        life: u64,
+    },
+    Done {
+        node: usize,
+        life: u64,
+        slot: u64,
+    },
+    Back {
+        agent: usize,
+        id: u64,
+        nth: usize,
+        how: How,
+    },
+    Look {
+        agent: usize,
+        id: u64,
+        at: Duration,
+    },
+    TimeOut {
+        agent: usize,
+        id: u64,
+        nth: usize,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -224,9 +372,20 @@
     out: Vec<Out>,
     answered: bool,
     look: Option<Duration>,
+    asking: Asking,
+}
+
+/// What a client wants, over all its tries.
+#[derive(Clone, Debug)]
+struct Asking {
+    lane: usize,
+    first: Duration,
+    key: Option<u64>,
+    tries: Tries,
 }
 
 struct Runner {
+    retries: Retries,
     zone: usize,
     choice: Choice,
     zones: Option<Zones>,
@@ -264,6 +423,11 @@
     agents: Vec<Runner>,
     running: Vec<Running>,
     ran: BTreeMap<(usize, u64), Vec<(usize, Duration)>>, // node and when, of what may not simply repeat
+    again: Vec<Asking>,
+    free: Vec<usize>,                 // places in `again`
+    stage: Option<(usize, Duration)>, // the one that is on, and how long it has run
+    holds: Vec<Option<Duration>>,     // by agent: when its vote to hold lapses
+    backs: Vec<bool>,
     news: Option<News>,
     played: Played,
 }
@@ -283,15 +447,21 @@
         let mut agents = Vec::new();
         for (n, a) in day.agents.iter().enumerate() {
             let seed = day.seed.wrapping_mul(1_000_003).wrapping_add(n as u64);
-            let d =
-                Deployment { seed, zone: a.zone, agents: day.agents.len() as u32, ..day.deployment.clone() };
+            let agents_all = day.agents.len() as u32;
+            let mut d = Deployment { seed, zone: a.zone, agents: agents_all, ..day.deployment.clone() };
+            day.lies.repeats.iter().for_each(|(lane, repeats)| d.lanes[*lane].repeats = *repeats);
             let mut choice = Choice::new(ZERO, d);
             let entries: Vec<Listed> = (0..day.nodes.len()).map(|i| listed(&day.nodes, i)).collect();
             choice.list(ZERO, &entries, true);
             if let Some(news) = &day.news {
                 choice.news(news.clone());
             }
+            let retrying = match &day.clients {
+                Clients::Careful(by) => by.clone(),
+                _ => Retrying::default(),
+            };
             agents.push(Runner {
+                retries: Retries::new(retrying, 1, seed),
                 zone: a.zone,
                 choice,
                 zones: a.zoning.clone().map(|z| Zones::new(ZERO, z)),
@@ -318,6 +488,9 @@
             crossings: vec![Vec::new(); agents.len()],
             broken: Vec::new(),
             votes: Vec::new(),
+            offered: Offered::default(),
+            life: Vec::new(),
+            events: 0,
             sends: vec![0; day.nodes.len()],
             zones: Vec::new(),
             digest: 0xcbf2_9ce4_8422_2325,
@@ -328,8 +501,13 @@
             queue: BinaryHeap::new(),
             order: 0,
             running: day.nodes.iter().map(|_| Running::default()).collect(),
+            holds: vec![None; agents.len()],
+            backs: vec![false; agents.len()],
             agents,
             ran: BTreeMap::new(),
+            again: Vec::new(),
+            free: Vec::new(),
+            stage: None,
             news: day.news.clone(),
             played,
             day,
@@ -350,6 +528,9 @@
             self.at(ZERO + self.day.script[n].0, What::Script(n));
         }
         self.caps();
+        if let Some(at) = self.day.offering.as_ref().map(|o| o.at) {
+            self.at(ZERO + at, What::Stage);
+        }
         for agent in 0..self.agents.len() {
             self.at(ZERO + Duration::from_micros(137 * agent as u64), What::Tick(agent));
             self.next_arrival(agent);
@@ -361,8 +542,9 @@
                 break;
             }
             self.now = when;
+            self.played.events += 1;
             let agent = match what {
-                What::Arrive(a) | What::Tick(a) => Some(a),
+                What::Arrive(a) | What::Again(a, _) | What::Tick(a) => Some(a),
                 What::Back { agent, .. } | What::Look { agent, .. } | What::TimeOut { agent, .. } => {
                     Some(agent)
                 }
@@ -394,13 +576,20 @@
                 self.arrive(agent);
                 self.next_arrival(agent);
             }
+            What::Again(agent, place) => {
+                let asking = self.again[place].clone();
+                self.free.push(place);
+                self.take(agent, asking);
+            }
+            What::Stage => self.stage(),
             What::Tick(agent) => {
                 let (now, a) = (self.now, &mut self.agents[agent]);
                 let due = a.choice.wait(now);
                 if let Some(vote) = due.vote {
-                    self.played.votes.push((now - ZERO, vote));
                     a.choice.reply(now, Reply::Counted);
+                    self.vote(agent, vote);
                 }
+                let a = &mut self.agents[agent];
                 if let Some(z) = &mut a.zones {
                     let rooms = a.choice.rooms(now, z.zoning().all());
                     z.step(now, &rooms);
@@ -454,13 +643,25 @@
             drawn < 0.0
         });
         let lane = lane.unwrap_or(0);
-        let left = self.day.lanes[lane].1;
         let key = Some(self.rng.gen_range(0..100_000));
+        let (now, left) = (self.now, self.day.lanes[lane].1);
+        // Clients of more than one try wait for as long again in all.
+        let all = if self.day.clients == Clients::Open { left } else { left * 2 };
+        let tries = Tries::new(self.day.deployment.lanes[lane].repeats, now + all);
+        self.second(agent).asked += 1;
+        self.take(agent, Asking { lane, first: now, key, tries });
+    }
+
+    /// A command comes to an agent, for the first time or again.
+    fn take(&mut self, agent: usize, mut asking: Asking) {
+        let (lane, key) = (asking.lane, asking.key);
         let (now, a) = (self.now, &mut self.agents[agent]);
+        let left = self.day.lanes[lane].1;
+        asking.tries.begin(now);
         let id = a.next;
         a.next += 1;
-        let held =
-            Held { lane, taken: now, expires: now + left, out: Vec::new(), answered: false, look: None };
+        let (expires, out) = (now + left, Vec::new());
+        let held = Held { lane, taken: now, expires, out, answered: false, look: None, asking };
         a.held.insert(id, held);
         a.exposed = (a.exposed - a.cap).max(0.0);
         if let Some(z) = &mut a.zones {
@@ -475,9 +676,132 @@
     }
 
     fn fold(&mut self, agent: usize, id: u64, answer: &Answer) {
-        let said = format!("{agent} {id} {answer:?}");
-        let fold = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-        self.played.digest = said.bytes().fold(self.played.digest, fold);
+        let (kind, what) = match answer {
+            Answer::Send { appliance, time_out, .. } => (1, *appliance as u64 ^ time_out.as_micros() as u64),
+            Answer::NotYet { until } => (2, until.as_micros() as u64),
+            Answer::Deny { .. } => (3, 0),
+            Answer::Scrap => (4, 0),
+            Answer::Withdraw { delivery } => (5, *delivery as u64),
+            Answer::Wait => (6, 0),
+        };
+        let fold = |h: u64, n: u64| (h ^ n).wrapping_mul(0x0100_0000_01b3).rotate_left(23);
+        self.played.digest = [agent as u64, id, kind, what].into_iter().fold(self.played.digest, fold);
+        self.tell(agent, id, || format!("the decisions: {answer:?}"));
+    }
+
+    /// Writes down what happens to the command that is watched.
+    fn tell(&mut self, agent: usize, id: u64, what: impl FnOnce() -> String) {
+        if self.day.watch == Some((agent, id)) {
+            let at = (self.now - ZERO).as_secs_f64();
+            self.played.life.push(format!("{at:12.6} s  {}", what()));
+        }
+    }
+
+    /// An agent's vote, as the platform takes it.
+    fn vote(&mut self, agent: usize, vote: Vote) {
+        let (now, life) = (self.now, self.day.deployment.rollout.vote_life);
+        let stands = self.news.as_ref().is_some_and(|n| (n.build, n.stage) == (vote.build, vote.stage));
+        self.played.votes.push((now - ZERO, vote.clone()));
+        if !stands {
+            return;
+        }
+        self.holds[agent] = (vote.verdict == Verdict::Hold).then_some(now + life);
+        if vote.verdict == Verdict::Hold && self.stage.is_some() {
+            self.played.offered.held.get_or_insert((now - ZERO, vote.stage));
+        }
+        self.backs[agent] = vote.verdict == Verdict::Back;
+        let (backs, need) = (self.backs.iter().filter(|b| **b).count(), self.day.offering.as_ref());
+        if self.stage.is_some() && need.is_some_and(|o| backs >= o.back_votes.max(1)) {
+            self.send_back();
+        }
+    }
+
+    fn send_back(&mut self) {
+        let Some(o) = self.day.offering.clone() else { return };
+        self.stage = None;
+        self.played.offered.back = Some(self.now - ZERO);
+        self.change(Change::News(News {
+            build: o.build,
+            stage: 0,
+            phase: Phase::GoingBack,
+            cap: 0.0,
+            began: ZERO,
+        }));
+        o.nodes.iter().for_each(|n| self.change(Change::Lists(*n, Standing::Gone)));
+    }
+
+    /// The platform's clock: a stage begins, runs on, or is over. It stands while a hold does.
+    fn stage(&mut self) {
+        let Some(o) = self.day.offering.clone() else { return };
+        let (now, look) = (self.now, Duration::from_millis(100));
+        if self.played.offered.back.is_some() || self.played.offered.released.is_some() {
+            return;
+        }
+        let held = self.holds.iter().flatten().any(|until| now < *until);
+        let next = match self.stage {
+            None => Some(0),
+            Some((stage, ran)) if ran >= o.step => Some(stage + 1),
+            Some((stage, ran)) => {
+                self.played.offered.stood += if held { look } else { Duration::ZERO };
+                self.stage = Some((stage, if held { ran } else { ran + look }));
+                None
+            }
+        };
+        match next {
+            Some(stage) if stage < o.caps.len() => {
+                self.stage = Some((stage, Duration::ZERO));
+                let (from, to) =
+                    (o.nodes.len() * stage / o.caps.len(), o.nodes.len() * (stage + 1) / o.caps.len());
+                o.nodes[from..to].iter().for_each(|n| self.change(Change::Starts(*n)));
+                let (build, cap) = (o.build, o.caps[stage]);
+                self.change(Change::News(News { build, stage, phase: Phase::Trial, cap, began: ZERO }));
+            }
+            Some(stage) => {
+                self.stage = None;
+                self.played.offered.released = Some(now - ZERO);
+                let (build, stage) = (o.build, stage.saturating_sub(1));
+                self.change(Change::News(News {
+                    build,
+                    stage,
+                    phase: Phase::Released,
+                    cap: 1.0,
+                    began: ZERO,
+                }));
+                return;
+            }
+            None => {}
+        }
+        self.at(now + look, What::Stage);
+    }
+
+    /// A client was told that its command was denied, or failed: it may ask again.
+    fn ask_again(&mut self, agent: usize, id: u64, denied: bool) {
+        let Some(h) = self.agents[agent].held.get(&id) else { return };
+        let mut asking = h.asking.clone();
+        let now = self.now;
+        let at = match &self.day.clients {
+            Clients::Open => return,
+            Clients::Naive { pause, tries } => {
+                let on = asking.tries.count < *tries && now + *pause < asking.tries.expires;
+                on.then_some(now + *pause)
+            }
+            Clients::Careful(_) => {
+                let come_back = self.day.deployment.come_back.map(|t| t.min(Duration::from_millis(500)));
+                let ended = if denied { TryEnded::Denied(come_back) } else { TryEnded::Failed };
+                match self.agents[agent].retries.next(now, &mut asking.tries, 0, ended) {
+                    Next::Again(at) => Some(at),
+                    Next::Over(_) => None,
+                }
+            }
+        };
+        if let Some(at) = at {
+            let place = self.free.pop().unwrap_or(self.again.len());
+            match self.again.get_mut(place) {
+                Some(old) => *old = asking,
+                None => self.again.push(asking),
+            }
+            self.at(at, What::Again(agent, place));
+        }
     }
 
     fn obey(&mut self, agent: usize, id: u64, answer: Answer) {
@@ -494,10 +818,12 @@
                     self.played.broken.push(format!("rule 2: command {id} was denied and had run"));
                 }
                 self.played.denied += 1;
+                self.ask_again(agent, id, true);
                 self.answered(agent, id);
             }
             Answer::Scrap => {
                 self.played.scrapped += 1;
+                self.ask_again(agent, id, false);
                 self.answered(agent, id);
             }
             Answer::Withdraw { delivery } => {
@@ -544,6 +870,7 @@
         let now = self.now;
         let n = self.day.nodes[node].clone();
         self.played.sends[node] += 1;
+        self.tell(agent, id, || format!("goes to appliance {node} of zone {}, build {}", n.zone, n.build));
         self.check_send(agent, id, node, &n);
         let trial = self.on_trial(n.build);
         let a = &mut self.agents[agent];
@@ -658,6 +985,8 @@
             return self.at(back, refuse(How::TurnedAway));
         }
         self.check_run(agent, id, lane, node);
+        let (busy, waits) = (self.running[node].busy.len(), self.running[node].waits.len());
+        self.tell(agent, id, || format!("has come to appliance {node}, where {busy} run and {waits} wait"));
         self.running[node].waits.push_back(Job { agent, id, nth });
         self.take_up(node);
     }
@@ -770,13 +1099,19 @@
             z.ended(now, &ticket, &Ended { outcome, flaw: Flaw::None, written, out, back, took });
         }
         let first = outcome == Outcome::Satisfied && !h.answered;
-        let (taken, lane) = (h.taken, h.lane);
+        let (taken, lane, first_asked) = (h.taken, h.lane, h.asking.first);
         let closed = h.answered || first;
         let answer = a.choice.after(now, id, nth, End { outcome, took, closed });
+        self.tell(agent, id, || format!("delivery {nth} ended: {outcome:?} after {took:?}"));
         if first {
             let took = now.saturating_sub(taken);
             self.played.satisfied += 1;
-            self.played.in_time += u64::from(took <= self.day.deployment.lanes[lane].quoted);
+            self.agents[agent].retries.satisfied(0);
+            let quoted = self.day.deployment.lanes[lane].quoted;
+            self.played.in_time += u64::from(took <= quoted);
+            if now.saturating_sub(first_asked) <= quoted {
+                self.second(agent).good += 1;
+            }
             let micros = took.as_micros().max(1) as u64;
             self.played.times.saturating_record(micros);
             let second = ((taken - ZERO).as_secs() as usize).min(self.played.second_times.len() - 1);
@@ -826,8 +1161,9 @@
                 let news = News { began: now, ..news };
                 self.news = Some(news.clone());
                 self.caps();
+                let told = News { cap: self.day.lies.cap.unwrap_or(news.cap), ..news };
                 for a in &mut self.agents {
-                    a.choice.news(news.clone());
+                    a.choice.news(told.clone());
                 }
             }
             Change::Rate(rate) => self.day.rate = rate,
@@ -862,9 +1198,14 @@
     }
 
     fn list(&mut self, node: usize) {
-        let (now, entry) = (self.now, listed(&self.day.nodes, node));
+        let (now, mut entry) = (self.now, listed(&self.day.nodes, node));
+        let lies = &self.day.lies;
+        entry.started = entry.started.filter(|_| !lies.warm);
+        let silent = lies.deaf && entry.standing != Standing::Running;
         for a in &mut self.agents {
-            a.choice.list(now, std::slice::from_ref(&entry), false);
+            if !silent {
+                a.choice.list(now, std::slice::from_ref(&entry), false);
+            }
             match entry.standing {
                 Standing::Running => drop(a.told.remove(&node)),
                 _ => drop(a.told.entry(node).or_insert(now)),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -28,6 +28,6 @@
 pub use discovery::{Discovery, Entry, Manner};
 pub use load::{Answered, Load};
 pub use platform::{News, Offer, Platform};
-pub use program::{configuration, settings, Lane, Program};
+pub use program::{configuration, lanes, service, settings, Lane, Program};
 pub use speaker::Speaker;
 pub use world::World;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -39,6 +39,8 @@
     pub unanswered: u64,
     /// Ids of those without an answer, the first hundred.
     pub lost: Vec<String>,
+    /// Microseconds by which commands went out later than they were due.
+    pub late: Option<Histogram<u64>>,
     /// Microseconds to each satisfied answer, by lane.
     pub times: BTreeMap<String, Histogram<u64>>,
 }
@@ -51,6 +53,12 @@
         all.value_at_quantile(part) as f64 / 1000.0
     }
 
+    /// How late, in milliseconds, this part of the commands went out at most: high where the load itself, or its
+    /// machine, does not keep up.
+    pub fn issued_late_ms(&self, part: f64) -> f64 {
+        self.late.as_ref().map_or(0.0, |h| h.value_at_quantile(part) as f64 / 1000.0)
+    }
+
     pub fn answered(&self) -> u64 {
         self.satisfied + self.denied + self.failed
     }
@@ -103,6 +111,11 @@
             });
             let Some((lane, _, wait, keyed)) = lane.or(self.lanes.last()) else { break };
             n += 1;
+            {
+                let mut r = result.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+                let late = due.elapsed().as_micros().max(1) as u64;
+                r.late.get_or_insert_with(empty).saturating_record(late);
+            }
             let (id, object) = (format!("{:x}-{n}", self.seed), rng.gen_range(0..10_000));
             let key = if *keyed { format!(",k={:x}{n:x}", self.seed) } else { String::new() };
             let ms = wait.as_millis();
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -8,7 +8,10 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 use tempfile::TempDir;
+use tulipwall::{Group, Repeats};
+use tulipwall_calls::Service;
 
 /// A lane of the settings.
 #[derive(Clone, Debug)]
@@ -27,6 +30,27 @@
     }
 }
 
+/// What a client of agents that serve views, messages (`send`) and payments sets.
+pub fn service(agents: Vec<SocketAddr>) -> Service {
+    let lane = |name: &str, repeats, benefit| {
+        let quoted = Duration::from_millis(400);
+        tulipwall_calls::Lane { name: name.into(), repeats, quoted, benefit }
+    };
+    let keyed = Repeats::Deduplicated { group: Group::All, window: Duration::from_secs(5) };
+    let lanes = vec![
+        lane("view", Repeats::Idempotent, 3.0),
+        lane("send", keyed, 3.0),
+        lane("payment", Repeats::Unrepeatable, 9.0),
+    ];
+    Service::new(agents, lanes)
+}
+
+/// The lanes of that service, as settings name them.
+pub fn lanes() -> Vec<Lane> {
+    let lane = Lane::new;
+    vec![lane("view", "repeatable", 3.0), lane("send", "by_key", 3.0), lane("payment", "once", 9.0)]
+}
+
 /// The settings of a deployment, as an agent in `zone` gets them.
 pub fn settings(zones: &[&str], zone: &str, agents: u32, lanes: &[Lane]) -> Value {
     let class = |l: &Lane| {
--- a/crates/zones/benches/agent/mod.rs
+++ b/crates/zones/benches/agent/mod.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 use tulipwall::*;
+use tulipwall_standins::day;
 use tulipwall_zones::*;
 
 fn ms(n: u64) -> Duration {
@@ -10,39 +11,7 @@
 
 fn deployment(lanes: usize) -> Deployment {
     let lane = || Lane { quoted: ms(400), benefit: 3.0, repeats: Repeats::Idempotent };
-    Deployment {
-        seed: 1,
-        agents: 3,
-        zone: 0,
-        lanes: (0..lanes).map(|_| lane()).collect(),
-        customers: Vec::new(),
-        benefit_by_work: false,
-        list_asked: false,
-        ask_within: ms(10_000),
-        second_copies: true,
-        withdraw: true,
-        come_back: None,
-        deliveries: 5,
-        crossing_price: 0.04,
-        cold_share: 0.3,
-        cold_for: ms(4000),
-        fall_for: ms(2000),
-        tick: ms(1),
-        rollout: Rollout {
-            caps: vec![0.1, 1.0],
-            free: 2.0,
-            by_lane: false,
-            guarded_stages: 0,
-            one_way: false,
-            by_clock: true,
-            in_place: false,
-            back_votes: 1,
-            vote_life: ms(10_000),
-            vote_wait: ms(800),
-            votes_per_s: 100.0,
-            flagged_share: 0.3,
-        },
-    }
+    Deployment { agents: 3, ..day::deployment((0..lanes).map(|_| lane()).collect()) }
 }
 
 pub struct Agent {
--- a/crates/zones/examples/measure.rs
+++ b/crates/zones/examples/measure.rs
@@ -8,7 +8,7 @@
 use agent::Agent;
 use std::time::{Duration, Instant};
 use tulipwall::*;
-use tulipwall_standins::day::{Caller, Change, Day, Node, Played};
+use tulipwall_standins::day::{self, Caller, Change, Clients, Day, Node, Played};
 use tulipwall_zones::*;
 
 const SEEDS: std::ops::Range<u64> = 1..6;
@@ -21,71 +21,26 @@
     Duration::from_secs(n)
 }
 
-fn deployment() -> Deployment {
-    let lane = |quoted, benefit, repeats| Lane { quoted: ms(quoted), benefit, repeats };
-    let keyed = Repeats::Deduplicated { group: Group::All, window: s(3) };
-    Deployment {
-        seed: 0,
-        agents: 3,
-        zone: 0,
-        lanes: vec![
-            lane(400, 3.0, Repeats::Idempotent),
-            lane(400, 3.5, keyed),
-            lane(750, 9.0, Repeats::Unrepeatable),
-        ],
-        customers: Vec::new(),
-        benefit_by_work: false,
-        list_asked: false,
-        ask_within: s(10),
-        second_copies: true,
-        withdraw: true,
-        come_back: Some(s(2)),
-        deliveries: 5,
-        crossing_price: 0.04,
-        cold_share: 0.3,
-        cold_for: s(4),
-        fall_for: s(2),
-        tick: ms(1),
-        rollout: Rollout {
-            caps: vec![0.08, 0.25, 0.6, 1.0],
-            free: 2.0,
-            by_lane: false,
-            guarded_stages: 0,
-            one_way: false,
-            by_clock: true,
-            in_place: false,
-            back_votes: 1,
-            vote_life: s(10),
-            vote_wait: ms(800),
-            votes_per_s: 100.0,
-            flagged_share: 0.3,
-        },
-    }
-}
-
 fn zoning(own: usize, budgets: Vec<Budget>) -> Zoning {
-    Zoning {
-        own,
-        zones: 2,
-        lanes: deployment().lanes.iter().map(|l| LaneView { benefit: l.benefit, quoted: l.quoted }).collect(),
-        links: vec![Link::default(); 3],
-        budgets,
-        routing: Routing::NearFirst,
-    }
+    day::zoning(&day::lanes(), own, 2, budgets)
 }
 
 /// Three agents, two in zone 0 and one in zone 1; six appliances of four cores in each zone; a way of 2 ms.
-fn day(seed: u64, zoned: bool, script: Vec<(Duration, Change)>, span: u64) -> Day {
+fn world(seed: u64, zoned: bool, script: Vec<(Duration, Change)>, span: u64) -> Day {
     let (same, cross) = (Duration::from_micros(150), ms(2));
     let agent = |zone, part| Caller { zone, part, zoning: zoned.then(|| zoning(zone, Vec::new())) };
     Day {
-        deployment: deployment(),
+        deployment: day::deployment(day::lanes()),
         agents: vec![agent(0, 1.0), agent(0, 0.5), agent(1, 1.0)],
         nodes: (0..12).map(|i| Node::new(i / 6, 41, 4)).collect(),
         ways: vec![vec![same, cross, cross], vec![cross, same, cross], vec![cross, cross, same]],
         work: vec![ms(20), ms(20), ms(30)],
         lanes: vec![(0.45, ms(1500)), (0.45, ms(1500)), (0.1, ms(2000))],
         rate: 1200.0,
+        clients: Clients::Open,
+        offering: None,
+        lies: Default::default(),
+        watch: None,
         span: s(span),
         news: Some(News { build: 41, stage: 0, phase: Phase::Released, cap: 1.0, began: Duration::ZERO }),
         script,
@@ -133,7 +88,7 @@
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for (name, script) in kinds {
         for zoned in [false, true] {
-            let played: Vec<Played> = SEEDS.map(|seed| day(seed, zoned, script(), 50).play()).collect();
+            let played: Vec<Played> = SEEDS.map(|seed| world(seed, zoned, script(), 50).play()).collect();
             let mean = |of: &dyn Fn(&Played) -> f64| played.iter().map(of).sum::<f64>() / played.len() as f64;
             let p99: Vec<f64> = played.iter().map(|p| p.quantile_ms(0.99)).collect();
             println!(
@@ -162,7 +117,7 @@
     {
         let played: Vec<Played> = SEEDS
             .map(|seed| {
-                let mut d = day(seed, true, Vec::new(), 30);
+                let mut d = world(seed, true, Vec::new(), 30);
                 d.nodes.truncate(8); // four near ones and two far: near cannot bear it
                 let budget =
                     Budget { name: "all".into(), to: None, lane: None, limit, window: s(5), part: 0.1 };
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -40,7 +40,7 @@
 mod zones;
 mod zoning;
 
-pub use account::{Account, Ended, Flaw, Key, Opening, Row, Tally};
+pub use account::{place, Account, Ended, Flaw, Key, Opening, Row, Tally};
 pub use budget::{Purse, Purses, Reserved, Spending};
 pub use report::{BudgetLine, Document, Head, Line, LinkLine, Names, Place, SeriesLine, Wall, VERSION};
 pub use route::{Reason, Route};
--- a/crates/zones/tests/days.rs
+++ b/crates/zones/tests/days.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 use tulipwall::*;
-use tulipwall_standins::day::{Caller, Change, Day, Node, Played};
+use tulipwall_standins::day::{self, Caller, Change, Clients, Day, Node, Played};
 use tulipwall_zones::*;
 
 fn ms(n: u64) -> Duration {
@@ -18,58 +18,8 @@
 const SEND: usize = 1;
 const PAYMENT: usize = 2;
 
-fn deployment() -> Deployment {
-    let lane = |quoted, benefit, repeats| Lane { quoted: ms(quoted), benefit, repeats };
-    let group = Repeats::Deduplicated { group: Group::All, window: s(3) };
-    Deployment {
-        seed: 0,
-        agents: 1,
-        zone: 0,
-        lanes: vec![
-            lane(400, 3.0, Repeats::Idempotent),
-            lane(400, 3.5, group),
-            lane(750, 9.0, Repeats::Unrepeatable),
-        ],
-        customers: Vec::new(),
-        benefit_by_work: false,
-        list_asked: false,
-        ask_within: s(10),
-        second_copies: true,
-        withdraw: true,
-        come_back: Some(s(2)),
-        deliveries: 5,
-        crossing_price: 0.04,
-        cold_share: 0.3,
-        cold_for: s(4),
-        fall_for: s(2),
-        tick: ms(1),
-        rollout: Rollout {
-            caps: vec![0.08, 0.25, 0.6, 1.0],
-            free: 2.0,
-            by_lane: false,
-            guarded_stages: 0,
-            one_way: false,
-            by_clock: true,
-            in_place: false,
-            back_votes: 1,
-            vote_life: s(10),
-            vote_wait: ms(800),
-            votes_per_s: 100.0,
-            flagged_share: 0.3,
-        },
-    }
-}
-
 fn zoning(own: usize, zones: usize, budgets: Vec<Budget>) -> Zoning {
-    let lanes = deployment().lanes;
-    Zoning {
-        own,
-        zones,
-        lanes: lanes.iter().map(|l| LaneView { benefit: l.benefit, quoted: l.quoted }).collect(),
-        links: vec![Link::default(); zones + 1],
-        budgets,
-        routing: Routing::NearFirst,
-    }
+    day::zoning(&day::lanes(), own, zones, budgets)
 }
 
 fn budget(limit: Limit, window: Duration) -> Budget {
@@ -82,17 +32,21 @@
 }
 
 /// One agent in zone 0 of two, with four appliances in each, at half of what near can bear.
-fn day(seed: u64, budgets: Vec<Budget>) -> Day {
+fn world(seed: u64, budgets: Vec<Budget>) -> Day {
     let cross = ms(2);
     let same = Duration::from_micros(150);
     Day {
-        deployment: deployment(),
+        deployment: day::deployment(day::lanes()),
         agents: vec![Caller { zone: 0, part: 1.0, zoning: Some(zoning(0, 2, budgets)) }],
         nodes: (0..8).map(|i| Node::new(i / 4, 41, 4)).collect(),
         ways: vec![vec![same, cross, cross], vec![cross, same, cross], vec![cross, cross, same]],
         work: vec![ms(20), ms(20), ms(30)],
         lanes: vec![(0.45, ms(1500)), (0.45, ms(1500)), (0.1, ms(2000))],
         rate: 380.0,
+        clients: Clients::Open,
+        offering: None,
+        lies: Default::default(),
+        watch: None,
         span: s(20),
         news: Some(News { build: 41, stage: 0, phase: Phase::Released, cap: 1.0, began: Duration::ZERO }),
         script: Vec::new(),
@@ -117,7 +71,7 @@
 
 #[test]
 fn near_first_while_near_has_room_and_over_by_degrees_as_it_fills() {
-    let mut d = day(1, Vec::new());
+    let mut d = world(1, Vec::new());
     d.span = s(40);
     // Twice what near can bear, then as before.
     d.script = vec![(s(10), Change::Rate(1000.0)), (s(20), Change::Rate(380.0))];
@@ -131,7 +85,7 @@
 
 #[test]
 fn all_near_drain_in_a_burst_with_the_budget_spent() {
-    let mut d = day(2, nothing());
+    let mut d = world(2, nothing());
     d.script = vec![(s(8), Change::Rate(600.0))];
     d.script.extend(lists(10_000, 0..4, Standing::Draining));
     let p = d.play();
@@ -147,7 +101,7 @@
 
 #[test]
 fn near_returns_cold_with_the_budget_spent() {
-    let mut d = day(3, nothing());
+    let mut d = world(3, nothing());
     d.span = s(30);
     d.script = lists(8000, 0..4, Standing::Gone);
     d.script.extend((0..4).map(|n| (s(14), Change::Starts(n))));
@@ -162,7 +116,7 @@
 
 #[test]
 fn when_a_zone_is_lost_the_spill_does_not_push_over_the_cold_ones_of_the_other() {
-    let mut d = day(4, Vec::new());
+    let mut d = world(4, Vec::new());
     d.rate = 550.0;
     d.script = (4..6).map(|n| (ms(7500), Change::Starts(n))).collect();
     d.script.extend(lists(8000, 0..4, Standing::Gone));
@@ -176,7 +130,7 @@
 }
 
 fn trial_in_far_only(fails: f64) -> Played {
-    let mut d = day(5, nothing());
+    let mut d = world(5, nothing());
     d.span = s(40);
     let mut far = Node::new(1, 42, 4);
     far.fails = fails;
@@ -212,7 +166,7 @@
 
 #[test]
 fn an_id_that_returns_in_another_zone_is_of_that_zone() {
-    let mut d = day(6, nothing());
+    let mut d = world(6, nothing());
     // All near ones return in the other zone at the same build, without a gap.
     d.script = (0..4).map(|n| (s(10), Change::Moves(n, 1))).collect();
     let p = d.play();
@@ -223,7 +177,7 @@
 
 #[test]
 fn a_list_without_zones_is_a_link_of_its_own() {
-    let mut d = day(7, nothing());
+    let mut d = world(7, nothing());
     d.nodes.iter_mut().for_each(|n| n.zone = 2); // as an agent numbers what it has no name for
     let p = d.play();
     kept(&p);
@@ -237,7 +191,7 @@
 
 #[test]
 fn an_agent_in_a_zone_with_no_appliance_serves_from_the_others() {
-    let mut d = day(8, nothing());
+    let mut d = world(8, nothing());
     d.nodes.iter_mut().for_each(|n| n.zone = 1);
     let p = d.play();
     kept(&p);
@@ -260,7 +214,7 @@
 
 #[test]
 fn an_agent_that_stalls_does_not_spend_a_window_at_once() {
-    let mut d = day(9, vec![budget(Limit::Deliveries(200.0), s(2))]);
+    let mut d = world(9, vec![budget(Limit::Deliveries(200.0), s(2))]);
     d.rate = 900.0; // more than near bears: the budget is always wanted
     d.script = vec![(s(10), Change::Stalls(0, s(2)))];
     let p = d.play();
@@ -271,7 +225,7 @@
 
 #[test]
 fn near_that_flaps_each_second_does_not_make_commands_swing() {
-    let mut d = day(10, Vec::new());
+    let mut d = world(10, Vec::new());
     d.span = s(75);
     // Slower by ten times in each other second, for 30 s.
     for n in 0..30 {
@@ -290,7 +244,7 @@
 
 #[test]
 fn a_budget_lowered_in_a_burst_holds_at_once() {
-    let mut d = day(11, vec![budget(Limit::Deliveries(3000.0), s(4))]);
+    let mut d = world(11, vec![budget(Limit::Deliveries(3000.0), s(4))]);
     d.rate = 900.0;
     let lower = zoning(0, 2, vec![budget(Limit::Deliveries(40.0), s(4))]);
     d.script = vec![(s(10), Change::Zoning(0, lower))];
@@ -310,7 +264,7 @@
 
 #[test]
 fn the_sum_over_ten_unequal_agents_keeps_to_the_budget() {
-    let mut d = day(12, Vec::new());
+    let mut d = world(12, Vec::new());
     let one = || vec![Budget { part: 0.1, ..budget(Limit::Deliveries(600.0), s(5)) }];
     // From a fortieth to a third of the load, one idle; more than near bears.
     let parts = [40.0, 20.0, 12.0, 10.0, 8.0, 5.0, 3.0, 1.5, 0.5, 0.0];
@@ -324,7 +278,7 @@
     let most = all.iter().map(|t| all.iter().filter(|u| *u >= t && **u < *t + s(5)).count()).max().unwrap();
     assert!(most <= 600, "{most}");
     assert!((0..10).all(|a| most_in_window(&p, a, s(5)) <= 60));
-    let mut shares = day(12, Vec::new());
+    let mut shares = world(12, Vec::new());
     let share = || vec![budget(Limit::Share(0.1), s(5))];
     shares.agents = parts.map(|part| Caller { zone: 0, part, zoning: Some(zoning(0, 2, share())) }).to_vec();
     shares.rate = 900.0;
@@ -336,7 +290,7 @@
 
 #[test]
 fn when_it_runs_short_least_benefit_stays_near_first_and_copies_before_first_deliveries() {
-    let mut d = day(13, vec![budget(Limit::Deliveries(300.0), s(3))]);
+    let mut d = world(13, vec![budget(Limit::Deliveries(300.0), s(3))]);
     d.rate = 800.0;
     let p = d.play();
     kept(&p);
@@ -353,7 +307,7 @@
 
 #[test]
 fn bytes_and_money_are_charged_as_the_socket_counted_them() {
-    let mut d = day(14, vec![budget(Limit::Bytes(40_000.0), s(4))]);
+    let mut d = world(14, vec![budget(Limit::Bytes(40_000.0), s(4))]);
     d.rate = 900.0;
     let z = d.agents[0].zoning.as_mut().unwrap();
     z.links[1].price = Price { delivery: 0.01, out_gib: 1.0, in_gib: 2.0 };
@@ -374,7 +328,7 @@
 
 #[test]
 fn of_three_unequal_zones_the_quicker_far_one_takes_more_also_when_one_way_is_slow() {
-    let mut d = day(15, Vec::new());
+    let mut d = world(15, Vec::new());
     d.agents[0].zoning = Some(zoning(0, 3, Vec::new()));
     d.nodes = (0..9).map(|i| Node::new([0, 0, 1, 1, 1, 1, 1, 2, 2][i], 41, 4)).collect();
     // Quick on the way there, slow on the way back: only the whole way counts.
@@ -393,7 +347,7 @@
 
 #[test]
 fn a_budget_costs_no_answer_when_only_the_far_side_can_answer_in_time() {
-    let mut d = day(16, nothing());
+    let mut d = world(16, nothing());
     d.span = s(30);
     // Near stays listed, warm and awake, but crawls.
     d.script = (0..4).map(|n| (s(8), Change::Slows(n, 30.0))).collect();
@@ -412,7 +366,7 @@
     for seed in 0..24u64 {
         let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
         let limits = [Limit::Deliveries(200.0), Limit::Bytes(1e5), Limit::Money(0.5), Limit::Share(0.05)];
-        let mut d = day(seed, vec![budget(limits[rng.gen_range(0..4)], s(rng.gen_range(1..8)))]);
+        let mut d = world(seed, vec![budget(limits[rng.gen_range(0..4)], s(rng.gen_range(1..8)))]);
         let zoned = d.agents[0].zoning.clone().unwrap();
         let other = Zoning { own: 1, ..zoned.clone() };
         d.agents.push(Caller { zone: 1, part: rng.gen_range(0.1..2.0), zoning: Some(other) });
@@ -439,7 +393,7 @@
 
 #[test]
 fn equal_days_are_equal_to_the_letter() {
-    let play = |budgets| day(17, budgets).play().digest;
+    let play = |budgets| world(17, budgets).play().digest;
     assert_eq!(play(nothing()), play(nothing()));
     assert_ne!(play(nothing()), play(Vec::new()));
 }
