Model: ways that lose, lists and news that come late, Erlang's queues

Change: ways between zones may lose a part of deliveries and answers; agents may be told of lists and news later; the part of work that is always the same may be set. Scenario keys loss, told-late and steady. Measured (simulated): one and eight cores wait as Erlang's C formula says within 6%; at 5% loss and at news a second late no rule breaks.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -6,8 +6,19 @@
 use tulipwall_deployment::{Mistake, Place, Reader};
 
 /// What may vary. Numbers but for `clients` and `routing`.
-pub const KEYS: [&str; 9] =
-    ["agents", "rate", "slowness", "fails", "clients", "routing", "share", "step", "spread"];
+pub const KEYS: [&str; 11] = [
+    "agents",
+    "rate",
+    "slowness",
+    "fails",
+    "clients",
+    "routing",
+    "share",
+    "step",
+    "spread",
+    "loss",
+    "told-late-ms",
+];
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scenario {
@@ -25,6 +36,12 @@
     pub ways: Vec<(usize, usize, Duration)>,
     pub clients: ClientKind,
     pub near_first: bool,
+    /// The part of work that is always the same, 0 to 1; the rest is exponential.
+    pub steady: f64,
+    /// What ways between zones lose of deliveries and of answers, 0 to 1.
+    pub loss: f64,
+    /// How much later agents are told of lists and news.
+    pub told_late: Duration,
     /// A budget for crossing, as a share of what is taken.
     pub share: Option<f64>,
     pub offer: Option<Offer>,
@@ -156,6 +173,8 @@
                 ("agents", Value::Number(n)) => s.agents = *n as usize,
                 ("rate", Value::Number(n)) => s.rate = *n,
                 ("spread", Value::Number(n)) => s.spread = *n,
+                ("loss", Value::Number(n)) => s.loss = n.min(1.0),
+                ("told-late-ms", Value::Number(n)) => s.told_late = Duration::from_secs_f64(n / 1000.0),
                 ("share", Value::Number(n)) => s.share = Some(*n),
                 ("slowness", Value::Number(n)) => s.offer.iter_mut().for_each(|o| o.slowness = *n),
                 ("fails", Value::Number(n)) => s.offer.iter_mut().for_each(|o| o.fails = *n),
@@ -202,12 +221,28 @@
         ways: Vec::new(),
         clients: ClientKind::Open,
         near_first: false,
+        steady: 0.4,
+        loss: 0.0,
+        told_late: Duration::ZERO,
         share: None,
         offer: None,
         faults: Vec::new(),
         vary: Vec::new(),
     };
-    let once = ["seeds", "span", "rate", "agents", "spread", "clients", "routing", "share", "offer"];
+    let once = [
+        "seeds",
+        "span",
+        "rate",
+        "agents",
+        "spread",
+        "clients",
+        "routing",
+        "share",
+        "offer",
+        "steady",
+        "loss",
+        "told-late",
+    ];
     let nodes = r.nodes(node.children(), "experiment", &once, &["lane", "zone", "way", "fault", "vary"]);
     // Zones first: others name them.
     for node in nodes.iter().filter(|n| n.name().value() == "zone") {
@@ -232,6 +267,9 @@
             }
             "routing" => s.near_first = r.word(node, &["as-ever", "near-first"]) == Some(1),
             "share" => s.share = r.number(node, 0.0, 1.0),
+            "steady" => s.steady = r.number(node, 0.0, 1.0).unwrap_or(s.steady),
+            "loss" => s.loss = r.number(node, 0.0, 1.0).unwrap_or(0.0),
+            "told-late" => s.told_late = r.span(node, Duration::ZERO).unwrap_or(Duration::ZERO),
             "offer" => s.offer = Some(offer(r, node)),
             "lane" => s.lanes.extend(lane(r, node)),
             "way" => s.ways.extend(way(r, node, &s.zones)),
--- a/crates/lab/tests/model.rs
+++ b/crates/lab/tests/model.rs
@@ -40,6 +40,47 @@
     assert!((mean / wanted - 1.0).abs() < 0.05, "{mean:.2} ms, {wanted:.2} by the formula");
 }
 
+/// The probability that a command waits where `c` cores share a load of `a` (Erlang's C formula).
+fn erlang(c: usize, a: f64) -> f64 {
+    let term = |n: usize| (1..=n).fold(1.0, |t, k| t * a / k as f64);
+    let last = term(c) * c as f64 / (c as f64 - a);
+    last / ((0..c).map(term).sum::<f64>() + last)
+}
+
+#[test]
+fn one_and_eight_cores_wait_as_erlang_says() {
+    for (cores, rate) in [(1usize, 30.0), (8, 320.0)] {
+        let s = scenario(&format!(
+            "span \"400s\"; rate {rate}; agents 1; steady 0\nzone \"a\" {{ appliances 1; cores {cores}; }}\n\
+             lane \"view\" {{ work \"20ms\"; quoted \"100s\"; expiry \"200s\"; repeats \"unrepeatable\"; }}"
+        ));
+        let p = run::day(&s, 5).play();
+        assert!(p.broken.is_empty() && p.denied + p.scrapped == 0, "{cores}: {} {}", p.denied, p.scrapped);
+        let (work, load) = (0.020, rate * 0.020);
+        let wait = erlang(cores, load) * work / (cores as f64 - load);
+        let (wanted, mean) = ((work + wait + 0.0003) * 1000.0, p.times.mean() / 1000.0);
+        assert!(
+            (mean / wanted - 1.0).abs() < 0.06,
+            "{cores} cores: {mean:.2} ms, {wanted:.2} by the formula"
+        );
+    }
+}
+
+#[test]
+fn ways_that_lose_and_news_that_come_late_cost_time_and_break_no_rule() {
+    let figures = |more: &str| {
+        let offer = "offer { at \"5s\"; stages 0.1 1; step \"4s\"; appliances 4; }\n\
+            fault { at \"8s\"; for \"4s\"; zone \"a\"; kind \"drain\"; }";
+        let record = run::run(&two_zones(&format!("{offer}\n{more}")), 0, &[], 3);
+        assert!(record.broken.is_empty(), "{more}: {:?}", record.broken);
+        record.figures
+    };
+    let (calm, loss, late) = (figures(""), figures("loss 0.05"), figures("told-late \"1s\""));
+    assert!(loss["p99_ms"] > calm["p99_ms"] * 1.3, "{} and {}", loss["p99_ms"], calm["p99_ms"]);
+    assert!(loss["good"] > 0.9 && late["good"] > 0.9, "{loss:?} {late:?}");
+    assert!(late["released"] == 1.0, "{late:?}");
+}
+
 #[test]
 fn two_choices_leave_shorter_queues_than_one_would() {
     // Ten appliances of one core at 0.7: by chance alone each is an M/G/1 queue; two choices wait far less
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -199,6 +199,12 @@
     pub ways: Vec<Vec<Duration>>,
     /// Mean work of each lane.
     pub work: Vec<Duration>,
+    /// The part of it that is always the same; the rest is exponential. 0 gives the queues of the textbook.
+    pub steady: f64,
+    /// What part of deliveries, and of their answers, a way between two zones loses.
+    pub loss: f64,
+    /// How much later agents are told of lists and news.
+    pub told_late: Duration,
     /// Weights of lanes, and how long a command of each may take.
     pub lanes: Vec<(f64, Duration)>,
     pub rate: f64,
@@ -317,6 +323,7 @@
     /// A client asks once more: agent, and the place of what it asks for.
     Again(usize, usize),
     Stage,
+    Tell(usize),
     Tick(usize),
     Reach {
         agent: usize,
@@ -375,6 +382,13 @@
     asking: Asking,
 }
 
+/// What agents are told, some time after it came to be.
+#[derive(Clone, Debug)]
+enum Tell {
+    List(usize, Listed),
+    News(News),
+}
+
 /// What a client wants, over all its tries.
 #[derive(Clone, Debug)]
 struct Asking {
@@ -428,7 +442,10 @@
     stage: Option<(usize, Duration)>, // the one that is on, and how long it has run
     holds: Vec<Option<Duration>>,     // by agent: when its vote to hold lapses
     backs: Vec<bool>,
+    /// What the platform says, and what agents were told of it.
     news: Option<News>,
+    told: Option<News>,
+    tells: Vec<Tell>,
     played: Played,
 }
 
@@ -509,6 +526,8 @@
             free: Vec::new(),
             stage: None,
             news: day.news.clone(),
+            told: day.news.clone(),
+            tells: Vec::new(),
             played,
             day,
         }
@@ -582,6 +601,7 @@
                 self.take(agent, asking);
             }
             What::Stage => self.stage(),
+            What::Tell(n) => self.told(n),
             What::Tick(agent) => {
                 let (now, a) = (self.now, &mut self.agents[agent]);
                 let due = a.choice.wait(now);
@@ -914,7 +934,9 @@
         // A first connection goes there and back once before.
         let first = if connected { Duration::ZERO } else { way + self.day.ways[n.zone][zone] };
         let life = self.running[node].life;
-        self.at(now + first + way, What::Reach { agent, id, nth, node, life });
+        if !self.lost(zone, n.zone) {
+            self.at(now + first + way, What::Reach { agent, id, nth, node, life });
+        }
         if !connected {
             if let Some(z) = &mut self.agents[agent].zones {
                 z.opened(now, &Opening { to: n.zone, build: n.build, out: 60, back: 60, took: Some(first) });
@@ -928,7 +950,7 @@
 
     fn on_trial(&self, build: u32) -> bool {
         let on = |n: &News| build > n.build || build == n.build && n.phase != Phase::Released;
-        self.news.as_ref().is_some_and(on)
+        self.told.as_ref().is_some_and(on)
     }
 
     /// Rules 3, 4 (what comes to a cold one is checked as it comes) and 5.
@@ -1043,7 +1065,7 @@
             let Some(lane) = lane else { continue };
             let speed = self.capacity(node) / self.day.nodes[node].cores as f64;
             let mean = self.day.work[lane].as_secs_f64();
-            let took = Duration::from_secs_f64(mean * (0.4 - 0.6 * (1.0 - self.chance()).ln()) / speed);
+            let took = Duration::from_secs_f64(mean * self.drawn() / speed);
             let (slot, life) = (self.running[node].slots, self.running[node].life);
             self.running[node].slots += 1;
             self.running[node].busy.insert(slot, job);
@@ -1051,6 +1073,16 @@
         }
     }
 
+    /// The work of one command against the mean.
+    fn drawn(&mut self) -> f64 {
+        self.day.steady - (1.0 - self.day.steady) * (1.0 - self.chance()).ln()
+    }
+
+    /// Whether a way between two zones loses what goes over it now.
+    fn lost(&mut self, from: usize, to: usize) -> bool {
+        from != to && self.day.loss > 0.0 && self.chance() < self.day.loss
+    }
+
     fn done(&mut self, node: usize, life: u64, slot: u64) {
         if self.running[node].life != life {
             return;
@@ -1058,8 +1090,9 @@
         let Some(Job { agent, id, nth }) = self.running[node].busy.remove(&slot) else { return };
         let fails = self.day.nodes[node].fails;
         let how = if self.chance() < fails { How::Failed } else { How::Satisfied };
-        let way = self.day.ways[self.day.nodes[node].zone][self.agents[agent].zone];
-        if !self.day.nodes[node].mute {
+        let (from, to) = (self.day.nodes[node].zone, self.agents[agent].zone);
+        let way = self.day.ways[from][to];
+        if !self.day.nodes[node].mute && !self.lost(from, to) {
             self.at(self.now + way, What::Back { agent, id, nth, how });
         }
         self.take_up(node);
@@ -1124,7 +1157,7 @@
 
     /// The cap that binds each agent; a lower one is counted anew.
     fn caps(&mut self) {
-        let cap = self.news.as_ref().map_or(0.0, |n| if n.phase == Phase::Released { 1.0 } else { n.cap });
+        let cap = self.told.as_ref().map_or(0.0, |n| if n.phase == Phase::Released { 1.0 } else { n.cap });
         for a in &mut self.agents {
             if !a.exposing || cap < a.cap {
                 a.exposed = 0.0;
@@ -1160,11 +1193,7 @@
             Change::News(news) => {
                 let news = News { began: now, ..news };
                 self.news = Some(news.clone());
-                self.caps();
-                let told = News { cap: self.day.lies.cap.unwrap_or(news.cap), ..news };
-                for a in &mut self.agents {
-                    a.choice.news(told.clone());
-                }
+                self.tell_later(Tell::News(news));
             }
             Change::Rate(rate) => self.day.rate = rate,
             Change::Stalls(agent, span) => self.agents[agent].stalled = now + span,
@@ -1198,7 +1227,34 @@
     }
 
     fn list(&mut self, node: usize) {
-        let (now, mut entry) = (self.now, listed(&self.day.nodes, node));
+        let entry = listed(&self.day.nodes, node);
+        self.tell_later(Tell::List(node, entry));
+    }
+
+    fn tell_later(&mut self, tell: Tell) {
+        self.tells.push(tell);
+        let n = self.tells.len() - 1;
+        if self.day.told_late.is_zero() {
+            self.told(n);
+        } else {
+            self.at(self.now + self.day.told_late, What::Tell(n));
+        }
+    }
+
+    fn told(&mut self, n: usize) {
+        let now = self.now;
+        let (node, mut entry) = match self.tells[n].clone() {
+            Tell::List(node, entry) => (node, entry),
+            Tell::News(news) => {
+                self.told = Some(news.clone());
+                self.caps();
+                let cap = self.day.lies.cap.unwrap_or(news.cap);
+                for a in &mut self.agents {
+                    a.choice.news(News { cap, ..news.clone() });
+                }
+                return;
+            }
+        };
         let lies = &self.day.lies;
         entry.started = entry.started.filter(|_| !lies.warm);
         let silent = lies.deaf && entry.standing != Standing::Running;
