--- a/src/choice.rs
+++ b/src/choice.rs
@@ -583,8 +583,8 @@
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
             let second =
                 trial && regressed && !idempotent || a.aside.is_some() && (!idempotent || a.in_flight > 0);
-            // Where crossing is short it comes last of what can answer, but before what likely cannot. What is
-            // on trial crosses as ever: no budget may leave its build unjudged.
+            // Where crossing is short it comes last of what can answer, before what likely cannot. What is on
+            // trial crosses as ever: no budget may leave its build unjudged.
             let told = self.crossings.zones.get(a.zone);
             let spared = !trial && told.is_some_and(|t| t.spares(c.lane, again));
             let rank = match (resting || a.silent(now, patience), tried || second) {
