--- a/crates/agent/src/commands/demo.rs
+++ b/crates/agent/src/commands/demo.rs
@@ -49,7 +49,7 @@
 }
 
 fn ways() -> Ways {
-    Ways { work: Duration::from_millis(8), cores: 2, value: 400, ..Ways::default() }
+    Ways { work: Duration::from_millis(8), steady: 0.4, cores: 2, value: 400, ..Ways::default() }
 }
 
 /// Plays it; whether every command had its answer.
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! The real agent on loopback against the stand-ins: single cases.
 
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::{BufRead, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
 use std::thread;
@@ -376,6 +376,28 @@
     assert!(served);
 }
 
+#[test]
+fn the_platform_answers_each_vote_and_goes_on_telling() {
+    let platform = Platform::start(platform::News::now(42, 0, "trial", 0.1)).unwrap();
+    let mut stream = TcpStream::connect(platform.address).unwrap();
+    stream.set_read_timeout(Some(SOON)).unwrap();
+    let mut lines = std::io::BufReader::new(stream.try_clone().unwrap());
+    let mut ask = |opinion: &str, ring: u32| {
+        let params = json!({"image": 42, "ring": ring, "opinion": opinion});
+        let call = json!({"jsonrpc": "2.0", "id": 1, "method": "Rollout.Judge", "params": params});
+        stream.write_all(format!("{call}\n").as_bytes()).unwrap();
+        let mut line = String::new();
+        lines.read_line(&mut line).unwrap();
+        serde_json::from_str::<serde_json::Value>(&line).unwrap()
+    };
+    assert_eq!(ask("pause", 0)["result"]["progress"], "trial");
+    assert_eq!(ask("abstain", 0)["result"]["image"], 42);
+    assert_eq!(ask("pause", 3)["error"]["message"], "ConditionFailed");
+    assert_eq!(ask("shout", 0)["error"]["message"], "ValidationError");
+    assert_eq!(ask("abort", 0)["result"]["progress"], "rolling_back");
+    assert_eq!((platform.votes().len(), platform.newest().cap), (5, 0.0));
+}
+
 #[test]
 fn a_faulty_start_names_the_key() {
     let path = std::env::temp_dir().join(format!("tulipwall-faulty-{}.json", std::process::id()));
--- a/crates/agent/tests/zones.rs
+++ b/crates/agent/tests/zones.rs
@@ -347,3 +347,22 @@
     assert_eq!(Command::new(BINARY).arg("chekc").output().unwrap().status.code(), Some(2));
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn the_demo_ends_by_itself_with_every_command_answered() {
+    // In a process of its own with a limit: a stand-in that stands still would keep it from ending.
+    let mut demo = Command::new(BINARY);
+    let mut demo = demo.args(["demo", "--rate", "60"]).stdout(std::process::Stdio::piped()).spawn().unwrap();
+    let begun = Instant::now();
+    while demo.try_wait().unwrap().is_none() && begun.elapsed() < Duration::from_secs(60) {
+        thread::sleep(ms(100));
+    }
+    let _ = demo.kill();
+    let out = demo.wait_with_output().unwrap();
+    let said = String::from_utf8(out.stdout).unwrap();
+    assert!(out.status.success(), "{said}");
+    for part in ["build 42 is offered", "all of akl-east drains", "drained", "0 without an answer"] {
+        assert!(said.contains(part), "{part}: {said}");
+    }
+    assert!(said.contains("Payments that ran twice: 0."));
+}
--- a/crates/standins/src/cutter.rs
+++ b/crates/standins/src/cutter.rs
@@ -1,6 +1,6 @@
 //! A way to an agent that is cut after so many bytes, in one direction or the other.
 
-use crate::ground::{self, Ends};
+use crate::ground::{self, locked, Ends};
 use async_executor::Task;
 use async_io::Async;
 use futures_lite::future::FutureExt;
@@ -31,7 +31,7 @@
         let script = Arc::new(Mutex::new(script.into_iter()));
         let ends = Arc::<Ends>::default();
         let (address, task) = ground::listen(&ends, move |stream| {
-            let next = script.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).next();
+            let next = locked(&script).next();
             let cut = next.unwrap_or(Cut::Never);
             async move {
                 let _ = pass(stream, agent, cut).await;
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -160,6 +160,36 @@
     }
 }
 
+impl Day {
+    /// A day without a script on [`lanes`], build 41 released: ways of 2 ms between zones and of 0.15 ms within,
+    /// work of 20 ms (payments 30), open clients.
+    pub fn small(agents: Vec<Caller>, nodes: Vec<Node>, rate: f64, span: Duration, seed: u64) -> Day {
+        let ms = Duration::from_millis;
+        let zones = nodes.iter().map(|n| n.zone).chain(agents.iter().map(|a| a.zone)).max().unwrap_or(0) + 2;
+        let way = |from, to| if from == to { Duration::from_micros(150) } else { ms(2) };
+        Day {
+            deployment: deployment(lanes()),
+            agents,
+            nodes,
+            ways: (0..zones).map(|from| (0..zones).map(|to| way(from, to)).collect()).collect(),
+            work: vec![ms(20), ms(20), ms(30)],
+            steady: 0.4,
+            loss: 0.0,
+            told_late: Duration::ZERO,
+            lanes: vec![(0.45, ms(1500)), (0.45, ms(1500)), (0.1, ms(2000))],
+            rate,
+            clients: Clients::Open,
+            offering: None,
+            lies: Lies::default(),
+            watch: None,
+            span,
+            news: Some(News { build: 41, stage: 0, phase: Phase::Released, cap: 1.0, began: Duration::ZERO }),
+            script: Vec::new(),
+            seed,
+        }
+    }
+}
+
 /// What became of an offered build.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Offered {
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery: the list over HTTP, whole or as a watch, told to each zone with the addresses that are its own.
 
-use crate::ground::{self, sleep, Ends};
+use crate::ground::{self, locked, sleep, Ends};
 use async_executor::Task;
 use async_io::Async;
 use event_listener::Event;
@@ -57,7 +57,7 @@
 
 impl Shared {
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        locked(&self.state)
     }
 }
 
--- a/crates/standins/src/ground.rs
+++ b/crates/standins/src/ground.rs
@@ -7,7 +7,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 /// How long a test waits for what must come, at most. Generous: no figure comes from it.
@@ -26,6 +26,11 @@
     EXECUTOR.spawn(work)
 }
 
+/// What a lock holds, also after a holder has panicked: a test that failed must not fail the others.
+pub fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
 /// Waits until this holds, looking every few milliseconds; whether it did within [`SOON`].
 pub fn until(mut holds: impl FnMut() -> bool) -> bool {
     let begun = Instant::now();
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -1,6 +1,6 @@
 //! Many clients at a rate of their own: each command is due at its time, whatever became of those before.
 
-use crate::ground::{self, sleep};
+use crate::ground::{self, locked, sleep};
 use crate::pg;
 use async_io::Async;
 use futures_lite::future::FutureExt;
@@ -112,7 +112,7 @@
             let Some((lane, _, wait, keyed)) = lane.or(self.lanes.last()) else { break };
             n += 1;
             {
-                let mut r = result.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+                let mut r = locked(&result);
                 let late = due.elapsed().as_micros().max(1) as u64;
                 r.late.get_or_insert_with(empty).saturating_record(late);
             }
@@ -139,13 +139,13 @@
         for task in tasks {
             task.await;
         }
-        let answered = result.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone();
+        let answered = locked(&result).clone();
         answered
     }
 }
 
 fn note(result: &Mutex<Answered>, due: &Due, told: io::Result<Option<String>>) {
-    let mut r = result.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let mut r = locked(result);
     r.asked += 1;
     match told {
         Ok(None) => {
@@ -166,7 +166,7 @@
 
 /// One command; the code of an error, nothing for a value.
 async fn call(agent: SocketAddr, idle: &Idle, due: &Due) -> io::Result<Option<String>> {
-    let waiting = idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).pop();
+    let waiting = locked(idle).pop();
     let mut stream = match waiting {
         Some(stream) => stream,
         None => {
@@ -186,6 +186,6 @@
             _ => {}
         }
     }
-    idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(stream);
+    locked(idle).push(stream);
     Ok(code)
 }
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::appliance::{Appliance, Counted, Link, Seen, Ways};
 use crate::discovery::{Discovery, Entry};
+use crate::ground::locked;
 use crate::platform::{News, Platform};
 use crate::program::{configuration, settings, Lane};
 use serde_json::Value;
@@ -33,7 +34,7 @@
     }
 
     fn appliances(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, (usize, std::sync::Arc<Appliance>)>> {
-        self.appliances.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        locked(&self.appliances)
     }
 
     /// Starts an appliance in a zone, not yet listed. Its entry goes to [`Discovery::tell`].
