Routing: zones are set against each other lane by lane, so the calm span can be seen

Far and near times were set against one usual time that moved with near; far zones, heard seldom, followed it late, so near looked slow long after it was quick, which hid the span. Change: mean times by zone and lane, compared lane by lane; the test turns at spells of 0.5 to 12 s.

--- a/crates/zones/src/route.rs
+++ b/crates/zones/src/route.rs
@@ -36,12 +36,12 @@
 const CALM_HALVES: Duration = Duration::from_secs(20);
 /// Steps are this far apart; one that comes later counts once.
 pub const STEP: Duration = Duration::from_millis(100);
-/// How fast the pace of answers follows, each.
-const PACE_GAIN: f64 = 0.05;
+/// How fast the mean time of answers follows, each.
+const TIME_GAIN: f64 = 0.05;
 /// How fast the usual time of a lane follows.
 const USUAL_GAIN: f64 = 0.005;
-/// A pace without an answer for as long says nothing.
-const PACE_KEPT: Duration = Duration::from_secs(10);
+/// A mean without an answer for as long says nothing.
+const TIME_KEPT: Duration = Duration::from_secs(10);
 /// Of the quoted time: a near answer that takes as long is near to being late, so that the budget yields. The
 /// decisions begin to deny at 0.4. Back below seven tenths of it.
 const YIELDS: (f64, f64) = (0.15, 0.3);
@@ -119,13 +119,12 @@
 /// What is known of one zone.
 #[derive(Clone, Debug, Default)]
 struct Side {
-    /// Answer times against the usual of their lanes, and when the last came.
-    pace: Option<(f64, Duration)>,
-    best: f64,            // the lowest pace of late
+    /// Mean answer times by lane, in seconds, and when the last answer came.
+    times: Vec<Option<(f64, Duration)>>,
     sent: f64,            // since the last step
     rate: f64,            // deliveries a second
-    borne: f64,           // per open appliance, at its usual pace
     open: f64,            // appliances of late: what was borne was borne by these
+    borne: f64,           // per open appliance, at its usual pace
     opening: Option<f64>, // seconds to a new connection, the least of late
     draw: f64,
     /// Part of what is wanted to cross by the answers.
@@ -168,7 +167,15 @@
             routing,
             quoted: lanes.iter().map(|l| l.quoted.as_secs_f64()).collect(),
             lanes: vec![Pace::default(); lanes.len()],
-            sides: vec![Side { calm: CALM_LEAST, draw: 1.0, ..Side::default() }; stated.len()],
+            sides: vec![
+                Side {
+                    times: vec![None; lanes.len()],
+                    calm: CALM_LEAST,
+                    draw: 1.0,
+                    ..Side::default()
+                };
+                stated.len()
+            ],
             stated,
             warm: 0.0,
             cold: 1.0,
@@ -192,13 +199,12 @@
         let took = took.as_secs_f64().max(1e-6);
         let usual = pace.usual.get_or_insert(took);
         *usual += (took.min(*usual * 10.0) - *usual) * USUAL_GAIN;
-        let x = (took / *usual).min(20.0);
-        let kept = side.pace.filter(|(_, at)| now < *at + PACE_KEPT).map_or(x, |(p, _)| p);
-        side.pace = Some((kept + (x - kept) * PACE_GAIN, now));
+        let kept = side.times[lane].filter(|(_, at)| now < *at + TIME_KEPT).map_or(took, |(t, _)| t);
+        let mean = kept + (took - kept) * TIME_GAIN;
+        side.times[lane] = Some((mean, now));
         if zone == self.own {
-            let near = pace.near.get_or_insert(took);
-            *near += (took - *near) * PACE_GAIN;
-            pace.least = if pace.least == 0.0 { *near } else { (pace.least * 1.0002).min(*near) };
+            pace.near = Some(mean);
+            pace.least = if pace.least == 0.0 { mean } else { (pace.least * 1.0002).min(mean) };
         }
     }
 
@@ -233,7 +239,7 @@
         for side in &mut self.sides {
             side.rate += (side.sent / span.as_secs_f64() - side.rate) * 0.2;
             side.sent = 0.0;
-            side.pace = side.pace.filter(|(_, at)| now < *at + PACE_KEPT);
+            side.times.iter_mut().for_each(|t| *t = t.filter(|(_, at)| now < *at + TIME_KEPT));
         }
         self.yields();
         let warm: f64 = rooms.iter().map(|r| r.warm as f64).sum();
@@ -242,10 +248,8 @@
         self.cold = if self.warm > 0.0 { (warm / self.warm).clamp(COLD_LEAST, 1.0) } else { 1.0 };
         let near = rooms.get(self.own).map_or(0.0, |r| r.open);
         let all: f64 = self.sides.iter().map(|s| s.rate).sum();
-        let own = self.near_pace();
         let ease = self.ease();
         let Some(side) = self.sides.get_mut(self.own) else { return };
-        side.best = if side.best == 0.0 { own } else { (side.best * 1.0005).min(own) };
         side.borne *= BORNE_FADE;
         side.open = (side.open * OPEN_FADE).max(near);
         if near > 0.0 && ease <= AT_EASE {
@@ -264,7 +268,8 @@
         let open = |z: usize| rooms.get(z).map_or(0.0, |r| r.open);
         let best = others.clone().filter(|z| open(*z) > 0.0).map(|z| ways[z]).fold(f64::MAX, f64::min);
         for zone in others.clone() {
-            self.feel(now, zone, own, ways[zone], near > 0.0);
+            let slower = self.slower(zone);
+            self.feel(now, zone, slower, near > 0.0);
         }
         // Of several far sides the quicker ones draw more, by the fourth power.
         let liking = |z: usize| (best / ways[z]).min(1.0).powi(4);
@@ -279,12 +284,12 @@
     }
 
     /// What answers say of how much should cross to this zone.
-    fn feel(&mut self, now: Duration, zone: usize, own: f64, way: f64, near: bool) {
+    fn feel(&mut self, now: Duration, zone: usize, slower: f64, near: bool) {
         let side = &mut self.sides[zone];
         if now > side.calmed + CALM_HALVES {
             (side.calm, side.calmed) = ((side.calm / 2).max(CALM_LEAST), now);
         }
-        let (rise, fall) = (!near || own > way * FULL, near && own < way * EASED);
+        let (rise, fall) = (!near || slower > FULL, near && slower < EASED);
         if rise && !side.rising {
             let soon = now < side.since + CALM_HALVES && side.turns > 0;
             side.calm = if soon { (side.calm * 2).min(CALM_MOST) } else { side.calm };
@@ -322,20 +327,25 @@
         }
     }
 
-    fn near_pace(&self) -> f64 {
-        self.sides.get(self.own).and_then(|s| s.pace).map_or(1.0, |(p, _)| p)
+    /// The mean time of answers from a zone; where none came of late, near's best and the way there.
+    fn time(&self, zone: usize, lane: usize) -> Option<f64> {
+        let heard = self.sides.get(zone).and_then(|s| s.times.get(lane).copied().flatten()).map(|(t, _)| t);
+        let least = self.lanes.get(lane).map(|l| l.least).filter(|t| *t > 0.0);
+        heard.or(least.filter(|_| zone != self.own).map(|t| t + self.added(zone).as_secs_f64()))
+    }
+
+    /// How much slower near answers are than those from a zone, its way included: the geometric mean over the
+    /// lanes of which both are known. Set against each other lane by lane and not against a usual time that moves
+    /// with them: zones are heard unequally often, and would follow it unequally fast.
+    fn slower(&self, zone: usize) -> f64 {
+        let of = |lane| Some(self.time(self.own, lane)? / self.time(zone, lane)?);
+        mean((0..self.lanes.len()).filter_map(of))
     }
 
-    /// The pace of answers from a zone; where none came, near's best and the way there.
+    /// How long answers from a zone take against the usual of their lanes.
     fn way(&self, zone: usize) -> f64 {
-        if let Some((pace, _)) = self.sides[zone].pace {
-            return pace.max(1e-3);
-        }
-        let usual: Vec<f64> = self.lanes.iter().filter_map(|l| l.usual).collect();
-        let usual = usual.iter().sum::<f64>() / usual.len().max(1) as f64;
-        let best = self.sides.get(self.own).map_or(1.0, |s| if s.best > 0.0 { s.best } else { 1.0 });
-        let added = if usual > 0.0 { self.added(zone).as_secs_f64() / usual } else { 0.0 };
-        best + added
+        let of = |lane: usize| Some(self.time(zone, lane)? / self.lanes[lane].usual?);
+        mean((0..self.lanes.len()).filter_map(of))
     }
 
     /// What an appliance of this zone draws against a near one, 0 to 1; `None` where the decisions' own figure
@@ -360,3 +370,13 @@
         self.sides.get(zone).map_or(0, |s| s.turns)
     }
 }
+
+/// The geometric mean; 1 of nothing.
+fn mean(ratios: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = ratios.fold((0.0, 0.0), |(s, n), r| (s + r.max(1e-6).ln(), n + 1.0));
+    if count > 0.0 {
+        (sum / count).exp()
+    } else {
+        1.0
+    }
+}
--- a/crates/zones/tests/route.rs
+++ b/crates/zones/tests/route.rs
@@ -67,7 +67,7 @@
     assert!(before < 0.02 && after > 0.4, "{before}, then {after}");
 }
 
-/// How often a far draw goes from under a twentieth to over a half, and back.
+/// How often a far draw goes from under a quarter to over a half, and back.
 fn swings(half_period: u64) -> (u32, f64) {
     let mut r = route(2);
     let both = [room(8, 0), room(8, 0)];
@@ -81,7 +81,7 @@
         10,
         |r| {
             let draw = r.draw(1).unwrap();
-            if (over && draw < 0.05) || (!over && draw > 0.5) {
+            if (over && draw < 0.25) || (!over && draw > 0.5) {
                 (over, swings) = (!over, swings + 1);
             }
         },
@@ -92,9 +92,11 @@
 
 #[test]
 fn near_that_flaps_does_not_swing_the_draw_and_calm_brings_it_back() {
-    for half_period in [10, 50, 90] {
+    for half_period in [5, 10, 20, 30, 50, 70, 90, 120] {
         let (swings, at_the_end) = swings(half_period);
-        assert!(swings <= 5, "{swings} swings in two minutes at {half_period} steps a half period");
+        // Without the calm span 17 at seven seconds and 13 at nine; beyond that near is slow long enough to follow.
+        let most = (half_period / 12).max(5) as u32;
+        assert!(swings <= most, "{swings} swings in two minutes at {half_period} steps a half period");
         assert!(at_the_end < 0.03, "{at_the_end}");
     }
 }
