Calls to discovery: spread at the start, from the known list, no oftener than all may call

All asked for the whole list and a watch in the same 100 ms; 222 of those calls and all later ones (45 a second, the whole list again and again, every 2 s and agent) got status 503, so that discovery stayed overbooked to the end. Ruled out: slow answers (each refusal came within 4 ms, two silences in 43 s), lists unread (those told were taken), the kill itself (the collapse began 4 s before it). Lines at fault: `watch_at: Some(now)` at the start, the gap of 0.25 to 2 s in `list_failed`, and `watch` in discovery.rs, which began with the whole list. Change: the first call comes within the agent's share of the platform's rate of calls, half of the ask-within time at most; failures double the gap from a quarter of that share up to the ask-within time; where a list is known only what has changed is asked for. Small fleets: 3 agents at 16 calls a second wait 0.19 s at most.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -180,6 +180,12 @@
         self.list.borrow().version
     }
 
+    /// The version of the list that is known, where one is.
+    pub fn known(&self) -> Option<u64> {
+        let list = self.list.borrow();
+        (!list.is_empty()).then_some(list.version)
+    }
+
     pub fn appliance(&self, id: &str) -> Option<usize> {
         self.list.borrow().number(id)
     }
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -9,6 +9,8 @@
 
 /// How long discovery may hold a watch without news: what it has to tell is overdue 2 s later.
 const HOLD: Duration = Duration::from_secs(20);
+/// The same for the first call of a watch, which should show soon whether discovery is there.
+const FIRST_HOLD: Duration = Duration::from_secs(1);
 const OVERDUE: Duration = Duration::from_secs(2);
 /// How soon the rest of an answer that has begun must come.
 const REST_WITHIN: Duration = Duration::from_millis(500);
@@ -38,15 +40,19 @@
     }
 }
 
-/// The whole list first, then what changes, for as long as the connection holds. `owes` while it was not yet
-/// heard at its new address.
+/// What has changed since the list that is known, for as long as the connection holds; the whole list first
+/// where none is known or discovery is another. Guards against agents that start or call again all at once: a
+/// list has as many lines as there are appliances, and discovery pays for each. `owes` while it was not yet heard
+/// at its new address.
 async fn watch(agent: &Agent, owes: &mut bool) -> Result<(), Malformed> {
     let mut connection = within(agent, OVERDUE, async {
         Connection::open(agent.discovery.get()).await.map_err(|e| Malformed(e.to_string()))
     })
     .await?;
-    let mut path = listing::LIST.to_owned();
-    let mut wait = Duration::ZERO;
+    let (mut path, mut wait) = match agent.known() {
+        Some(version) if !*owes => (listing::watch(version, FIRST_HOLD.as_millis() as u64), FIRST_HOLD),
+        _ => (listing::LIST.to_owned(), Duration::ZERO),
+    };
     loop {
         let told = within(agent, wait + OVERDUE, ask(agent, &mut connection, &path)).await?;
         agent.listed(told);
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -407,3 +407,19 @@
     assert!(!run.status.success());
     assert!(String::from_utf8_lossy(&run.stderr).contains("settings: field classes: missing"));
 }
+
+#[test]
+fn an_agent_that_knows_a_list_asks_only_for_what_has_changed_since() {
+    let world = world(&[acts(Act::Answers)]);
+    let mut configuration = world.configuration("n1", 0).unwrap();
+    configuration["known"] = world.discovery.known(0);
+    world.appliance(0, "s-1", 41, acts(Act::Answers)).unwrap();
+    let agent = Program::start(BINARY, configuration, &[]).unwrap();
+    let mut client = caller(&agent);
+    let both = ground::until(|| {
+        client.ask("view", 1000);
+        told(&mut client).is_none() && seen(&world, "s-0") > 0 && seen(&world, "s-1") > 0
+    });
+    assert!(both, "what came after the known list is told");
+    assert_eq!(world.discovery.asked_whole(), 0);
+}
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -47,6 +47,7 @@
     version: u64,
     entries: BTreeMap<String, (u64, Entry)>, // with the version of its last change
     asked: usize,
+    wholes: usize,
 }
 
 #[derive(Default)]
@@ -130,6 +131,11 @@
         self.shared.state().asked
     }
 
+    /// How often the whole list was.
+    pub fn asked_whole(&self) -> usize {
+        self.shared.state().wholes
+    }
+
     /// The list as a configuration's `known`.
     pub fn known(&self, from: usize) -> Value {
         whole(&self.shared.state(), from)
@@ -154,6 +160,7 @@
         let manner = {
             let mut state = shared.state();
             state.asked += 1;
+            state.wholes += usize::from(!path.contains("after="));
             state.manner.clone()
         };
         let body = match manner {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -84,14 +84,14 @@
 
 impl Choice {
     pub fn new(now: Duration, d: Deployment) -> Choice {
-        let mut rng = Pcg64Mcg::seed_from_u64(d.seed);
+        let (mut rng, at) = (Pcg64Mcg::seed_from_u64(d.seed), Bounds::of(&d));
         Choice {
-            at: Bounds::of(&d),
             lanes: d.lanes.iter().map(|l| LaneView::new(l, FIRST_GUESS)).collect(),
             customer_load: vec![0.0; d.customers.len()],
             votes: Votes { severe: rng.gen_bool(0.5), ..Votes::default() },
+            watch_at: at.ask_within.map(|_| now + at.call_share().mul_f64(rng.gen_range(0.0..1.0))),
             rng: Some(rng),
-            watch_at: d.list_asked.then_some(now),
+            at,
             load: Load { spare: RETRY_MOST, blame: 1.0, ..Load::default() },
             ..Choice::default()
         }
@@ -146,11 +146,14 @@
         self.set_caps();
     }
 
-    /// A list call failed, or the watch broke: ask again, less and less often.
+    /// A list call failed, or the watch broke: ask again, less and less often. Guards against a discovery that
+    /// the agents keep overbooked with their calls, as refused ones cost it, too: from a share of what all
+    /// together may call to a gap at which it bears even all. May delay the list once discovery is back.
     pub fn list_failed(&mut self, now: Duration) {
-        if let Some(most) = self.at.ask_within.map(|t| t / 5) {
-            self.watch_at = Some(now + self.watch_gap.mul_f64(0.7 + 0.6 * chance(&mut self.rng)));
-            self.watch_gap = (self.watch_gap * 2).clamp(GAP, most.max(GAP));
+        if let Some(most) = self.at.ask_within {
+            let gap = self.watch_gap.max(GAP).max(self.at.call_share() / 4);
+            self.watch_at = Some(now + gap.mul_f64(0.5 + chance(&mut self.rng)));
+            self.watch_gap = (gap * 2).min(most.max(GAP));
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -267,6 +267,13 @@
         self.cold_share + (1.0 - self.cold_share) * age.min(1.0)
     }
 
+    /// How far apart the calls of one agent are where all agents together keep to the platform's rate, the only
+    /// one that is told for calls; at most half of the time within which the list must be asked for.
+    pub fn call_share(&self) -> Duration {
+        let most = self.ask_within.unwrap_or_default() / 2;
+        Duration::from_secs_f64(self.vote_share.clamp(0.0, 3600.0)).min(most)
+    }
+
     /// Where the cap counts a delivery of this lane.
     pub fn slot(&self, lane: usize) -> usize {
         if self.by_lane {
