--- a/src/choice.rs
+++ b/src/choice.rs
@@ -874,7 +874,7 @@
 
 /// Whether the build on trial regressed a lane that the earlier build satisfies: by its share, and beyond
 /// what chance would show at any of the agents. `ease` is less where a hold stands.
-/// Guards, by the outcomes beside it, against troubles that meet both builds while the trial gets traffic, and
+/// Guards, by the outcomes beside it, against troubles that meet both builds while the trial is on, and
 /// against a baseline known from few: the share from before says little of now. May let a bad build on longer
 /// where the earlier one gets little beside it.
 fn regressed(of: [&Count; 3], worth: f64, least: f64, ease: f64, lossy: bool) -> Option<&'static str> {
