--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -8,12 +8,12 @@
 use crate::wire::statement::Statement;
 use futures_lite::future::{self, poll_fn};
 use std::future::Future;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tulipwall::{Answer, Command, Group, Outcome, Repeats};
+use tulipwall_deployment::number;
 use tulipwall_zones::{Sending, Ticket};
 
 /// What a client may write ahead of its answers before it is held back.
@@ -56,7 +56,7 @@
     let customer = statement.customer.as_deref().and_then(|c| agent.site.customer(c));
     let expires = heard + statement.wait;
     let left = expires.saturating_sub(agent.clock.now());
-    let command = Command { lane, customer, key: Some(number(&statement.object)), left };
+    let command = Command { lane, customer, key: Some(number(&statement.object)), left, work: None };
     let statement = Rc::new(statement);
     let mut out: Vec<Option<Out>> = Vec::new();
     let (mut look, mut ran): (Option<Duration>, bool) = (None, false);
@@ -249,10 +249,3 @@
         }
     }
 }
-
-/// The number that equal keys share.
-fn number(key: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -64,7 +64,7 @@
     pub fn after(&self, id: u64, delivery: usize, sent: Duration, outcome: Outcome, closed: bool) -> Answer {
         self.counters.end(outcome);
         let now = self.clock.now();
-        let end = End { outcome, took: now.saturating_sub(sent), closed };
+        let end = End { outcome, took: now.saturating_sub(sent), closed, held: None };
         self.choice.borrow_mut().after(now, id, delivery, end)
     }
 
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tulipwall::{Listed, Standing};
-use tulipwall_deployment::Site;
+use tulipwall_deployment::{number, Site};
 
 struct Kept {
     id: String,
@@ -56,6 +56,8 @@
                 appliance,
                 zone,
                 cell: e.cell,
+                mark: number(&e.id),
+                kind: 0,
                 build: e.build,
                 standing: e.standing,
                 started: e.started_ms.and_then(|ms| clock.of_wall(ms)),
--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use tulipwall::*;
-use tulipwall_deployment::{millis, span, Fault, Fields, Names, Site};
+use tulipwall_deployment::{millis, number, span, Fault, Fields, Names, Site};
 
 pub const KNOWN: [&str; 10] = [
     "Targets",
@@ -24,7 +24,7 @@
     start: Duration,
     site: Site,
     appliances: Names,
-    keys: Names,
+    kinds: Names,
     commands: HashMap<String, u64>,
     in_hand: BTreeMap<u64, InHand>,
     taken: u64,
@@ -47,7 +47,7 @@
             start,
             site,
             appliances: Names::default(),
-            keys: Names::default(),
+            kinds: Names::default(),
             commands: HashMap::new(),
             in_hand: BTreeMap::new(),
             taken: 0,
@@ -74,13 +74,14 @@
                 };
                 let owner = item.maybe("owner").and_then(Value::as_str);
                 let customer = owner.and_then(|o| self.site.customer(o));
-                let key = item.maybe("route-key").and_then(Value::as_str).map(|k| self.keys.number(k) as u64);
+                let key = item.maybe("route-key").and_then(Value::as_str).map(number);
                 let left = item.span("patience-left-ms")?;
                 let id = self.taken;
                 self.taken += 1;
                 self.commands.insert(name.to_owned(), id);
                 self.in_hand.insert(id, InHand { name: name.to_owned(), out: 0, closed: false });
-                self.choice.take(now, id, Command { lane, customer, key, left });
+                let work = item.maybe("estimate-ms").and_then(Value::as_f64).map(span);
+                self.choice.take(now, id, Command { lane, customer, key, left, work });
                 let answer = self.choice.place(now, id);
                 self.write(id, answer, said);
             }
@@ -98,7 +99,8 @@
                 };
                 let (took, finished) = (item.span("lag-ms")?, item.flag("finished")?);
                 let Some(id) = self.commands.get(name).copied() else { return Ok(()) };
-                let answer = self.choice.after(now, id, n, End { outcome, took, closed: finished });
+                let end = End { outcome, took, closed: finished, held: held(item) };
+                let answer = self.choice.after(now, id, n, end);
                 if let Some(c) = self.in_hand.get_mut(&id) {
                     c.out = c.out.saturating_sub(1);
                     c.closed |= finished;
@@ -130,7 +132,24 @@
                     self.choice.flag(now, appliance, lane, item.span_or("lateness-ms", 0.0)?);
                 }
             }
-            "ProbeDone" | "PeerData" | "PeriodSums" => {}
+            "PeriodSums" => {
+                if let Some(lane) = self.site.lane(item.text("tier-class")?) {
+                    self.choice.tally(&Tally {
+                        build: item.whole("rel")? as u32,
+                        lane,
+                        deliveries: item.whole_or("attempts", 0)? as f64,
+                        failed: item.whole_or("errors", 0)? as f64,
+                        took: item.span_or("lag-ms", 0.0)?,
+                        age: item.span_or("lateness-ms", 0.0)?,
+                    });
+                }
+            }
+            "ProbeDone" => {
+                let appliance = self.appliances.number(item.text("appliance")?);
+                let outcome = outcome(item.text("state-code")?).ok_or("field state-code: unknown outcome")?;
+                self.choice.told(now, appliance, outcome, held(item));
+            }
+            "PeerData" => {}
             other => return Err(format!("field t: unknown message '{other}'")),
         }
         Ok(())
@@ -151,6 +170,9 @@
             };
             said.push(json!({"t": "Verdict", "rel": v.build, "wave": v.stage, "code": code}));
         }
+        for appliance in due.asks {
+            said.push(json!({"t": "AskLoad", "appliance": self.appliances.name(appliance)}));
+        }
         for note in due.notes {
             said.push(json!({"t": "Debug", "note-text": note}));
         }
@@ -242,6 +264,8 @@
                 appliance: self.appliances.number(e.text("appliance")?),
                 zone,
                 cell: e.whole_or("stripe", 0)?,
+                mark: number(e.text("appliance")?),
+                kind: e.maybe("hw").and_then(Value::as_str).map_or(0, |k| self.kinds.number(k)),
                 build: e.whole_or("release", 0)? as u32,
                 standing,
                 started: (born > self.start).then(|| born.saturating_sub(self.start)),
@@ -282,6 +306,11 @@
     }
 }
 
+/// What a load report says of the commands that an appliance holds.
+fn held(item: &Fields) -> Option<f64> {
+    item.maybe("pressure").and_then(|p| p.get("concurrent")).and_then(Value::as_f64)
+}
+
 fn outcome(code: &str) -> Option<Outcome> {
     Some(match code {
         "success" => Outcome::Satisfied,
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -37,6 +37,11 @@
     }
 }
 
+/// The number that equal names share, at every agent and in every version (FNV-1a, 64 bits).
+pub fn number(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |n, b| (n ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
 /// What is wrong with the settings.
 #[derive(Debug, PartialEq)]
 pub enum Fault {
@@ -122,6 +127,8 @@
             cold_share: rules.number_or("cold-share", 0.1)?,
             cold_for: rules.span_or("cold-ms", 10_000.0)?,
             fall_for: rules.span_or("fall-ms", 2_000.0)?,
+            probes: limits.flag("probes")?,
+            warm_keys: domain.flag("warm-keys")?,
             tick: s.span_or("granularity-ms", 1.0)?,
             rollout: Rollout {
                 caps,
@@ -132,6 +139,7 @@
                 by_clock: domain.text("decided-by")? == "timer",
                 in_place: domain.text("swap")? == "in_place",
                 back_votes: domain.whole_or("noes-needed", 1)? as u32,
+                hold_votes: domain.whole_or("votes-to-hold", 1)? as u32,
                 vote_life: domain.span("vote-ttl-ms")?,
                 vote_wait: domain.span("vote-wait-ms")?,
                 votes_per_s: domain.number_or("api-rate", 1.0)?,
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -131,6 +131,8 @@
         cold_share: 0.3,
         cold_for: secs(4),
         fall_for: secs(2),
+        probes: false,
+        warm_keys: false,
         tick: Duration::from_millis(1),
         rollout: Rollout {
             caps: vec![0.08, 0.25, 0.6, 1.0],
@@ -141,6 +143,7 @@
             by_clock: true,
             in_place: false,
             back_votes: 1,
+            hold_votes: 1,
             vote_life: secs(10),
             vote_wait: Duration::from_millis(800),
             votes_per_s: 120.0,
@@ -718,7 +721,7 @@
         if let Some(z) = &mut a.zones {
             z.taken(now, lane);
         }
-        a.choice.take(now, id, Command { lane, customer: None, key, left });
+        a.choice.take(now, id, Command { lane, customer: None, key, left, work: None });
         let answer = a.choice.place(now, id);
         self.played.taken += 1;
         self.second(agent).taken += 1;
@@ -1165,7 +1168,7 @@
         let first = outcome == Outcome::Satisfied && !h.answered;
         let (taken, lane, first_asked) = (h.taken, h.lane, h.asking.first);
         let closed = h.answered || first;
-        let answer = a.choice.after(now, id, nth, End { outcome, took, closed });
+        let answer = a.choice.after(now, id, nth, End { outcome, took, closed, held: None });
         self.tell(agent, id, || format!("delivery {nth} ended: {outcome:?} after {took:?}"));
         if first {
             let took = now.saturating_sub(taken);
@@ -1307,6 +1310,8 @@
         appliance,
         zone: n.zone,
         cell: appliance as u64 % 3,
+        mark: appliance as u64,
+        kind: 0,
         build: n.build,
         standing: n.standing,
         started: n.started,
--- a/crates/zones/benches/agent/mod.rs
+++ b/crates/zones/benches/agent/mod.rs
@@ -32,6 +32,8 @@
             appliance,
             zone: appliance % zones,
             cell: 0,
+            mark: appliance as u64,
+            kind: 0,
             build: 41,
             standing: Standing::Running,
             started: None,
@@ -68,7 +70,11 @@
         if let Some(z) = &mut self.zones {
             z.taken(now, lane);
         }
-        self.choice.take(now, id, Command { lane, customer: None, key: Some(id), left: ms(1500) });
+        self.choice.take(
+            now,
+            id,
+            Command { lane, customer: None, key: Some(id), left: ms(1500), work: None },
+        );
         if let Answer::Send { appliance, .. } = self.choice.place(now, id) {
             let to = appliance % self.of_zone;
             let sending = Sending {
@@ -97,7 +103,12 @@
             if let (Some(z), Some(t)) = (&mut self.zones, ticket) {
                 z.ended(now, &t, &end);
             }
-            self.choice.after(now, id, 0, End { outcome: Outcome::Satisfied, took, closed: true });
+            self.choice.after(
+                now,
+                id,
+                0,
+                End { outcome: Outcome::Satisfied, took, closed: true, held: None },
+            );
         }
         if id.is_multiple_of(300) {
             self.choice.wait(now);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,15 @@
 const SLOW_SHARE: f64 = 0.8; // of the earlier build's share of quick answers
 const CERTAIN: f64 = 3.0; // how far beyond chance, as a logarithm; more the more agents look
 const LEFT: f64 = 0.05; // of their load, to appliances that go at the release
+const TALLY_SHARE: f64 = 0.2; // of a lane's deliveries, beyond the earlier build's
+const TALLY_APART: f64 = 6.0; // beyond chance, as a logarithm
+const TALLY_SLOW: f64 = 1.6; // times the earlier build's time
+const TALLY_PACE: f64 = 1.3; // the same that warm keys and young machines explain
+const WARM: f64 = 0.7; // what the home of a key weighs, as it does less work for it
+const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
+const FRESH: Duration = ms(150); // a load report that is not asked for again
+const MUTE: f64 = 4.0; // what an appliance that does not tell its load seems to hold, times the mean
+const KIND_GAIN: f64 = 0.02;
 const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
 
 const SURVEY: Duration = ms(100);
@@ -72,6 +81,8 @@
     lanes: Vec<LaneView>,
     commands: BTreeMap<u64, Open>,
     fleet: Vec<Appliance>,
+    kinds: Vec<Kind>,
+    asks: Vec<usize>, // for their load
     builds: BTreeMap<u32, Build>,
     bound: BTreeMap<u64, u32>, // keys that a build on trial has answered
     news: Option<News>,
@@ -140,6 +151,7 @@
             if self.fleet.len() <= e.appliance {
                 self.fleet.resize_with(e.appliance + 1, Appliance::default);
             }
+            self.kinds.resize(self.kinds.len().max(e.kind + 1), Kind::default());
             let a = &self.fleet[e.appliance];
             let same = a.build == e.build && a.started == e.started && a.zone == e.zone;
             if e.standing == Standing::Running && a.standing == Standing::Running && same {
@@ -241,6 +253,46 @@
         }
     }
 
+    /// An appliance answered what it holds, or that it would not say.
+    pub fn told(&mut self, now: Duration, appliance: usize, outcome: Outcome, held: Option<f64>) {
+        let Some(a) = self.fleet.get_mut(appliance) else { return };
+        a.asked = a.asked.filter(|_| outcome == Outcome::TimedOut);
+        self.report(now, appliance, held);
+    }
+
+    fn report(&mut self, now: Duration, i: usize, held: Option<f64>) {
+        let Some(held) = held.filter(|h| (0.0..1e6).contains(h)) else { return };
+        let a = &mut self.fleet[i];
+        (a.held, a.since, a.asked) = (Some((held, now)), 0.0, None);
+        if a.cold_since.is_none() && a.standing == Standing::Running {
+            self.kinds[a.kind].held(held, KIND_GAIN);
+        }
+    }
+
+    /// What the platform counted over all agents.
+    pub fn tally(&mut self, t: &Tally) {
+        let build = self.builds.get_mut(&t.build);
+        build.and_then(|b| b.tallied.get_mut(t.lane)).into_iter().for_each(|s| s.add(t));
+    }
+
+    /// Whether the platform's counts show, in any lane, that the trial fails far more than the earlier build, or in
+    /// all of them that it takes far longer; beyond chance. All agents know the same and agree at once.
+    fn tallied(&self, build: u32, earlier: u32) -> Option<&'static str> {
+        let (t, e) = (&self.builds.get(&build)?.tallied, &self.builds.get(&earlier)?.tallied);
+        let worse = |(t, e): (&Tallied, &Tallied)| {
+            let base = e.failed / e.all.max(1.0) + TALLY_SHARE;
+            e.all >= LEAST_OUTCOMES
+                && t.failed > base * t.all
+                && apart((t.failed, t.all), (e.failed, e.all)) > TALLY_APART
+        };
+        let (answers, ratio) = Tallied::pace(t, e);
+        let slow = ratio > TALLY_SLOW && strange(answers, ratio / TALLY_PACE) > TALLY_APART;
+        match t.iter().zip(e).any(worse) {
+            true => Some("counted as failing"),
+            false => slow.then_some("counted as slow"),
+        }
+    }
+
     /// Where to send this command now.
     pub fn place(&mut self, now: Duration, id: u64) -> Answer {
         self.resume(now);
@@ -268,7 +320,7 @@
                 return Answer::Withdraw { delivery };
             }
             self.load.spare -= 1.0;
-            return self.pick(now, id).map_or(Answer::Wait, |other| self.send(now, id, other));
+            return self.pick(now, id).map_or(Answer::Wait, |[other, _]| self.send(now, id, other));
         }
         // Overload: what is worth least is denied before it costs anything.
         if left <= self.at.tick * 2 || spent || c.deliveries.is_empty() && self.crowded(c) {
@@ -277,7 +329,8 @@
         // Unsent at half its time: its client may find another agent. Denies what might yet be taken.
         let unsent = now + self.at.tick * 4 > c.half && !c.deliveries.iter().any(|d| d.may_have_run);
         match self.pick(now, id) {
-            Some(chosen) => self.send(now, id, chosen),
+            Some(two) if self.ask(now, id, two) => Answer::NotYet { until: now + self.at.tick * 2 },
+            Some([chosen, _]) => self.send(now, id, chosen),
             None if hopeless || unsent => self.give_up(id),
             None => Answer::NotYet { until: now + self.at.tick * 4 },
         }
@@ -310,6 +363,7 @@
             _ => {}
         }
         let weight = if first.is_some() { 0.0 } else { self.load.blame };
+        self.report(now, appliance, end.held);
         self.learn(now, appliance, build, lane, &end, weight);
         let by = build.max(self.fleet[appliance].build);
         let binds = self.at.one_way && self.news.as_ref().is_none_or(|n| by >= n.build);
@@ -344,8 +398,8 @@
         }
         let watch = self.watch_at.take_if(|t| now >= *t).is_some();
         let until = self.watch_at.map_or(self.survey_at, |t| t.min(self.survey_at));
-        let (vote, notes) = (self.vote(now), std::mem::take(&mut self.notes));
-        Due { until, vote, watch, notes }
+        let (asks, vote) = (std::mem::take(&mut self.asks), self.vote(now));
+        Due { until, vote, watch, asks, notes: std::mem::take(&mut self.notes) }
     }
 
     /// Counts of what is kept: commands, appliances, builds and keys.
@@ -417,15 +471,17 @@
         let showing = self.running().filter(of_build).filter(|(_, a)| Count::sum(&a.counts).shows());
         strength *= showing.count() as f64 / held;
         self.drags(now, &n);
-        let d = &self.drag;
         // Wrong answers come from no sick machine, and a right one is told as wrong but rarely.
         let apart = apart((pool.flagged, pool.satisfied), (base.flagged, base.satisfied));
         let wrong = pool.flagged >= LEAST_FLAGS && apart > AGREED_WRONG + self.at.one_of.ln();
         let open = n.phase == Phase::Trial || n.phase == Phase::Released && age < SERVED;
-        let agreed = self.at.jury && open && (d.slow || wrong);
+        let tallied = self.tallied(n.build, earlier).filter(|_| open);
+        let d = &self.drag;
+        let agreed = self.at.jury && open && (d.slow || wrong) || tallied.is_some();
         if agreed || n.phase == Phase::Trial && (d.alarm || d.sure && d.falls + u32::from(d.resting) > 1) {
             strength = if d.alarm { LEAST_FAILURES / 2.0 } else { strength };
-            why = Some(if wrong { "wrong answers" } else { "the fleet slows with it" }.into());
+            let other = if wrong { "wrong answers" } else { "the fleet slows with it" };
+            why = Some(tallied.unwrap_or(other).into());
         }
         let seen = why.is_some();
         if seen != was {
@@ -561,7 +617,7 @@
     }
 
     /// Two random choices by commands in flight, among what this command may go to.
-    fn pick(&mut self, now: Duration, id: u64) -> Option<usize> {
+    fn pick(&mut self, now: Duration, id: u64) -> Option<[usize; 2]> {
         let c = &self.commands[&id];
         let patience = self.patience();
         let repeats = self.lanes[c.lane].repeats;
@@ -613,7 +669,8 @@
                 || trial && (self.drag.resting || self.drag.falls > 1);
             // The build on trial gets an even share from every zone, a regressed one a trickle.
             let share = if trial { fair } else { side(a.zone) * yields };
-            let draw = a.weight * ramp * share * if regressed && trial { TRICKLE } else { 1.0 };
+            let rate = self.rate(a.kind);
+            let draw = a.weight * rate * ramp * share * if regressed && trial { TRICKLE } else { 1.0 };
             let tried = c.deliveries.iter().any(|d| d.appliance == i);
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
             let second =
@@ -627,13 +684,60 @@
                 (_, true) => 2,
                 _ => usize::from(spared),
             };
-            pool[rank].push((i, draw, a.in_flight as f64 / (a.weight * ramp)));
+            pool[rank].push((i, draw, self.busy(now, a) / (a.weight * rate * ramp)));
         }
         let fit = pool.iter().find(|p| !p.is_empty())?;
         let rng = self.rng.as_mut()?;
         let mut draw = || fit.choose_weighted(rng, |c| c.1).ok().or(fit.last());
-        let (one, two) = (draw()?, draw()?);
-        Some(if two.2 < one.2 { two.0 } else { one.0 })
+        let (mut one, mut two) = (draw()?, draw()?);
+        // A key's home is the same for all agents, by rendezvous hashing; it may be the busier one by a bit.
+        let key = c.key.filter(|_| self.at.warm_keys && !again);
+        let far = |k: u64, f: &(usize, f64, f64)| rendezvous(k, self.fleet[f.0].mark, f.1);
+        let home = key.and_then(|k| fit.iter().min_by(|a, b| far(k, a).total_cmp(&far(k, b))));
+        one = home.unwrap_or(one);
+        let home = home.map(|f| f.0);
+        if let Some(choices) = c.choices.filter(|_| !again) {
+            let [a, b] = choices.map(|i| fit.iter().find(|f| f.0 == i));
+            (one, two) = (a.or(b).unwrap_or(one), b.or(a).unwrap_or(two));
+        }
+        let cost = |f: &(usize, f64, f64)| f.2 * if home == Some(f.0) { WARM } else { 1.0 };
+        Some(if cost(two) < cost(one) { [two.0, one.0] } else { [one.0, two.0] })
+    }
+
+    /// What one appliance of this kind gets done against the mean of all.
+    fn rate(&self, kind: usize) -> f64 {
+        let rates = || self.kinds.iter().filter_map(Kind::rate);
+        let mean = rates().sum::<f64>() / rates().count().max(1) as f64;
+        self.kinds[kind].rate().map_or(1.0, |r| r / mean)
+    }
+
+    /// Commands in flight there: this agent's own, or what the appliance said, which comes near the mean of its
+    /// kind as it ages. Guards small agents, whose own say nothing.
+    fn busy(&self, now: Duration, a: &Appliance) -> f64 {
+        let (mean, own) = (self.kinds[a.kind].held, a.in_flight as f64);
+        if self.kinds[a.kind].rate().is_none() {
+            return own;
+        }
+        let (held, at) = a.held.unwrap_or((mean, now));
+        let held = mean + (held - mean) * (-now.saturating_sub(at).as_secs_f64() / RELAX).exp();
+        let mute = if a.asked.is_some() { mean * MUTE } else { 0.0 };
+        1.0 + (held + a.since).max(own).max(mute)
+    }
+
+    /// Whether the two choices are asked for what they hold before one is taken.
+    fn ask(&mut self, now: Duration, id: u64, choices: [usize; 2]) -> bool {
+        let c = self.commands.get_mut(&id).filter(|c| c.deliveries.is_empty() && c.choices.is_none());
+        let Some(c) = c.filter(|_| self.at.probes) else { return false };
+        c.choices = Some(choices);
+        let before = self.asks.len();
+        for i in choices {
+            let a = &mut self.fleet[i];
+            if a.held.is_none_or(|h| now > h.1 + FRESH) && a.asked.is_none_or(|t| now > t + FRESH) {
+                a.asked = Some(now);
+                self.asks.push(i);
+            }
+        }
+        self.asks.len() > before
     }
 
     fn patience(&self) -> Duration {
@@ -665,6 +769,7 @@
         let build = a.build;
         c.deliveries.push(Delivery::to(i, a, now));
         a.in_flight += 1;
+        a.since += 1.0;
         a.unheard.get_or_insert(now);
         let log = if a.cold_since.is_some() { &mut a.sends } else { &mut self.warm_sends };
         log.add(now, self.at.fall_for);
@@ -745,6 +850,7 @@
                 follow(&mut a.high, x);
             }
             if a.cold_since.is_none() && !stalled {
+                self.kinds[a.kind].pace(x, KIND_GAIN);
                 // Guards a build that only other zones hold: the way there is not its work.
                 let bare = (took - way).max(0.0);
                 (if judged { &mut l.late } else { &mut l.calm }).add(bare);
@@ -786,18 +892,19 @@
             let fades = build >= trial || Count::sum(counts).all() > KEEP;
             counts.iter_mut().filter(|_| fades).for_each(|c| c.mix(fade, &Count::default()));
         };
-        let median = |of: &dyn Fn(u32) -> bool| {
-            let warm = self.running().filter(|(_, a)| a.cold_since.is_none() && of(a.build));
+        let median = |of: &dyn Fn(&Appliance) -> bool| {
+            let warm = self.running().filter(|(_, a)| a.cold_since.is_none() && of(a));
             let highs = sorted(warm.map(|(_, a)| a.high));
             highs.get(highs.len() / 2).copied().filter(|_| highs.len() > 2)
         };
         let all = median(&|_| true).unwrap_or(1.0);
-        let fellows = [median(&|b| b < trial).unwrap_or(all), median(&|b| b >= trial).unwrap_or(all)];
+        let side = |kind, newest| median(&|a| a.kind == kind && (a.build >= trial) == newest).unwrap_or(all);
+        let fellows: Vec<_> = (0..self.kinds.len()).map(|k| [side(k, false), side(k, true)]).collect();
         for a in &mut self.fleet {
             if a.cold_since.is_some_and(|t| now >= t + self.at.cold_for) {
                 (a.cold_since, a.sends) = (None, Sends::default());
             }
-            let median = fellows[usize::from(a.build >= trial)];
+            let median = fellows[a.kind][usize::from(a.build >= trial)];
             // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
             let pace = (a.high / median).max(0.3);
             a.weight = if pace < 1.5 { pace.powf(-0.5) } else { 1.5f64.powf(1.5) * pace.powi(-2) };
@@ -806,6 +913,7 @@
         }
         for (number, b) in &mut self.builds {
             old(&mut b.past, *number);
+            b.tallied.iter_mut().for_each(|t| t.fade(fade));
         }
         self.beside.fade(fade, 0.5f64.powf(SURVEY.as_secs_f64() / LATE_LIFE));
         let rate = self.lanes.iter().map(|l| l.rate).sum::<f64>() * SURVEY.as_secs_f64();
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,6 +157,7 @@
     pub half: Duration, // of its time is over
     pub deliveries: Vec<Delivery>,
     pub closed: bool,
+    pub choices: Option<[usize; 2]>, // asked for their load
 }
 
 #[derive(Default)]
@@ -164,6 +165,8 @@
     pub standing: Standing,
     pub zone: usize,
     pub cell: u64,
+    pub mark: u64,
+    pub kind: usize,
     pub build: u32,
     pub started: Option<Duration>,
     pub cold_since: Option<Duration>,
@@ -178,6 +181,34 @@
     pub weight: f64,
     pub counts: Vec<Count>,
     pub sends: Sends,
+    pub held: Option<(f64, Duration)>, // commands that it said it held, and when
+    pub since: f64,                    // sent to it from here since then
+    pub asked: Option<Duration>,       // for its load, and not yet heard
+}
+
+/// Machines of one kind: means of their answer times against the usual, and of what they say they hold.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Kind {
+    pub pace: f64,
+    pub held: f64,
+    paces: f64,
+    helds: f64,
+}
+
+impl Kind {
+    /// Follows by `gain`, faster while little is known.
+    pub fn pace(&mut self, x: f64, gain: f64) {
+        self.paces += 1.0;
+        self.pace += (x - self.pace) * gain.max(1.0 / self.paces);
+    }
+    pub fn held(&mut self, n: f64, gain: f64) {
+        self.helds += 1.0;
+        self.held += (n - self.held) * gain.max(1.0 / self.helds);
+    }
+    /// What one of them gets done, by Little's law; None while unknown.
+    pub fn rate(&self) -> Option<f64> {
+        (self.paces > 9.0 && self.helds > 9.0).then(|| (self.held + 1.0) / self.pace.max(0.05))
+    }
 }
 
 #[derive(Default)]
@@ -187,7 +218,36 @@
     pub past: Vec<Count>, // of appliances that have gone
     pub newest: Duration,
     pub regressed: bool,
-    pub shown: f64, // failures times the seconds for which they showed, fading
+    pub shown: f64,            // failures times the seconds for which they showed, fading
+    pub tallied: Vec<Tallied>, // by lane
+}
+
+/// What the platform counted of a lane over all agents, fading.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tallied {
+    pub all: f64,
+    pub failed: f64,
+    pub took: f64, // seconds of those that did not fail, all together
+}
+
+impl Tallied {
+    pub fn add(&mut self, t: &Tally) {
+        let (all, failed) = (t.deliveries.max(0.0), t.failed.clamp(0.0, t.deliveries.max(0.0)));
+        (self.all, self.failed) = (self.all + all, self.failed + failed);
+        self.took += (all - failed) * t.took.as_secs_f64();
+    }
+    pub fn fade(&mut self, by: f64) {
+        (self.all, self.failed, self.took) = (self.all * by, self.failed * by, self.took * by);
+    }
+    /// Of a build on trial against the earlier one, by lane: answers, and their mean time against that one's.
+    pub fn pace(trial: &[Tallied], earlier: &[Tallied]) -> (f64, f64) {
+        let (mut answers, mut took) = (0.0, 0.0);
+        for (t, e) in trial.iter().zip(earlier).filter(|(_, e)| e.took > 0.0) {
+            answers += t.all - t.failed;
+            took += t.took / (e.took / (e.all - e.failed));
+        }
+        (answers, took / answers.max(1e-9))
+    }
 }
 
 /// What the earlier build did while the trial got its traffic, so that troubles that meet both are seen in both.
@@ -280,6 +340,8 @@
     pub cold_share: f64,
     pub cold_for: Duration,
     pub fall_for: Duration,
+    pub probes: bool,
+    pub warm_keys: bool,
     pub shares: Vec<f64>, // of the customers
     pub first_cap: f64,
     pub free: f64,
@@ -343,9 +405,8 @@
         (self.took, self.answers) = (self.took * by, self.answers * by);
         self.quick.iter_mut().chain(&mut self.seen).for_each(|n| *n *= by);
     }
-    /// Chernoff's bound, as a logarithm, on a mean of long-tailed times that is `ratio` times the usual.
     pub fn strange(&self, ratio: f64) -> f64 {
-        self.answers * (ratio - 1.0 - ratio.ln())
+        strange(self.answers, ratio)
     }
     /// The share of quick answers, and the same bound on it where half is usual.
     pub fn quick_share(&self, side: usize) -> (f64, f64) {
@@ -355,6 +416,21 @@
     }
 }
 
+/// Chernoff's bound, as a logarithm, on a mean of so many long-tailed times that is `ratio` times the usual.
+pub(crate) fn strange(answers: f64, ratio: f64) -> f64 {
+    answers * (ratio - 1.0 - ratio.ln())
+}
+
+/// How far an appliance of this mark and weight is from a key: all agents find the same one nearest.
+pub(crate) fn rendezvous(key: u64, mark: u64, weight: f64) -> f64 {
+    let mut n = key ^ mark.rotate_left(32);
+    for factor in [0xff51_afd7_ed55_8ccd, 0xc4ce_b9fe_1a85_ec53] {
+        n = (n ^ n >> 33).wrapping_mul(factor);
+    }
+    let share = ((n ^ n >> 33) >> 11) as f64 / (1u64 << 53) as f64;
+    -share.max(1e-18).ln() / weight.max(1e-9)
+}
+
 /// The newest build before this one.
 pub(crate) fn earlier(builds: &BTreeMap<u32, Build>, build: u32) -> u32 {
     builds.range(..build).next_back().map_or(0, |(number, _)| *number)
@@ -416,6 +492,8 @@
             cold_share: d.cold_share,
             cold_for: d.cold_for,
             fall_for: d.fall_for,
+            probes: d.probes,
+            warm_keys: d.warm_keys,
             shares: d.customers.iter().map(|c| c.share).collect(),
             first_cap: r.caps.first().copied().unwrap_or(0.0),
             free: r.free,
@@ -476,6 +554,7 @@
             half: now + c.left / 2,
             deliveries: Vec::new(),
             closed: false,
+            choices: None,
         }
     }
 }
@@ -490,6 +569,8 @@
             standing: e.standing,
             zone: e.zone,
             cell: e.cell,
+            mark: e.mark,
+            kind: e.kind,
             build: e.build,
             started: e.started,
             cold_since,
@@ -504,7 +585,7 @@
 
 impl Build {
     pub fn new(lanes: usize, slots: usize, free: f64) -> Build {
-        let none = vec![Count::default(); lanes];
-        Build { tokens: vec![free; slots], past: none, ..Build::default() }
+        let (none, tallied) = (vec![Count::default(); lanes], vec![Tallied::default(); lanes]);
+        Build { tokens: vec![free; slots], past: none, tallied, ..Build::default() }
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -73,6 +73,10 @@
     pub cold_share: f64,
     pub cold_for: Duration,
     pub fall_for: Duration,
+    /// An appliance may be asked for its load.
+    pub probes: bool,
+    /// An appliance works faster for keys that it met lately.
+    pub warm_keys: bool,
     pub tick: Duration,
     pub rollout: Rollout,
 }
@@ -88,6 +92,7 @@
     pub by_clock: bool,
     pub in_place: bool,
     pub back_votes: u32, // agents that must agree to send back
+    pub hold_votes: u32, // and to stop the clock
     pub vote_life: Duration,
     pub vote_wait: Duration,
     pub votes_per_s: f64,
@@ -124,13 +129,15 @@
     pub share: f64,
 }
 
-/// A command as it arrives; `key` is a number that equal keys share.
+/// A command as it arrives; `key` is a number that equal keys share, at every agent.
 #[derive(Clone, Debug)]
 pub struct Command {
     pub lane: usize,
     pub customer: Option<usize>,
     pub key: Option<u64>,
     pub left: Duration,
+    /// A rough hint of what it costs, where its client gave one.
+    pub work: Option<Duration>,
 }
 
 /// One line of the list of appliances.
@@ -139,6 +146,10 @@
     pub appliance: usize,
     pub zone: usize,
     pub cell: u64,
+    /// The same number at every agent.
+    pub mark: u64,
+    /// Machines of one kind are alike, but for what befalls them.
+    pub kind: usize,
     pub build: u32,
     pub standing: Standing,
     pub started: Option<Duration>,
@@ -204,6 +215,22 @@
     pub outcome: Outcome,
     pub took: Duration,
     pub closed: bool,
+    /// Commands that the appliance said it held, late and roughly.
+    pub held: Option<f64>,
+}
+
+/// What the platform counted for one build and lane in a sample of all agents' deliveries over a past while.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    pub build: u32,
+    pub lane: usize,
+    pub deliveries: f64,
+    /// Those of them that were not satisfied.
+    pub failed: f64,
+    /// Mean time of the others.
+    pub took: Duration,
+    /// Since it was counted.
+    pub age: Duration,
 }
 
 /// What to do with a command now.
@@ -243,5 +270,7 @@
     pub until: Duration,
     pub vote: Option<Vote>,
     pub watch: bool,
+    /// Appliances to ask for their load.
+    pub asks: Vec<usize>,
     pub notes: Vec<String>,
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -177,7 +177,10 @@
                                 flags.push((now + ms(2000), n, appliance));
                             }
                         }
-                        asks.push((o.2, choice.after(now, o.2, o.3, End { outcome, took, closed })));
+                        asks.push((
+                            o.2,
+                            choice.after(now, o.2, o.3, End { outcome, took, closed, held: None }),
+                        ));
                     }
                     None if o.3 == usize::MAX => asks.push((o.2, choice.place(now, o.2))),
                     None => {}
@@ -186,7 +189,11 @@
             if rng.gen_bool(0.045 * if step > 1600 { commands } else { 1.0 }) {
                 let lane = [0, 0, 0, 0, 1, 1, 1, 1, 2][rng.gen_range(0..9)];
                 let id = step * 100 + n as u64;
-                choice.take(now, id, Command { lane, customer: Some(0), key: None, left: ms(3400) });
+                choice.take(
+                    now,
+                    id,
+                    Command { lane, customer: Some(0), key: None, left: ms(3400), work: None },
+                );
                 asks.push((id, choice.place(now, id)));
             }
             while let Some((id, answer)) = asks.pop() {
@@ -206,7 +213,7 @@
                     }
                     Answer::Withdraw { delivery } => {
                         if let Some((took, _)) = ends.remove(&(n, id, delivery)) {
-                            let end = End { outcome: Outcome::Withdrawn, took, closed: true };
+                            let end = End { outcome: Outcome::Withdrawn, took, closed: true, held: None };
                             asks.push((id, choice.after(now, id, delivery, end)));
                         }
                     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -33,6 +33,8 @@
         cold_share: 0.3,
         cold_for: ms(4000),
         fall_for: ms(2000),
+        probes: false,
+        warm_keys: false,
         tick: ms(5),
         rollout: Rollout {
             caps: vec![0.2, 0.5, 1.0],
@@ -43,6 +45,7 @@
             by_clock: true,
             in_place: false,
             back_votes: 1,
+            hold_votes: 1,
             vote_life: ms(6000),
             vote_wait: ms(1000),
             votes_per_s: 40.0,
@@ -53,7 +56,16 @@
 
 pub fn listed(appliance: usize, build: u32, started: Option<u64>) -> Listed {
     let (zone, cell) = (appliance % 2, appliance as u64 % 3);
-    Listed { appliance, zone, cell, build, standing: Standing::Running, started: started.map(ms) }
+    Listed {
+        appliance,
+        zone,
+        cell,
+        mark: appliance as u64,
+        kind: 0,
+        build,
+        standing: Standing::Running,
+        started: started.map(ms),
+    }
 }
 
 pub fn trial(build: u32, stage: usize, cap: f64) -> News {
@@ -151,7 +163,7 @@
         self.held.insert(id, held);
         self.taken.push((self.now, lane));
         let customer = Some(id as usize % 2);
-        self.choice.take(self.now, id, Command { lane, customer, key: Some(id % 7), left });
+        self.choice.take(self.now, id, Command { lane, customer, key: Some(id % 7), left, work: None });
         let answer = self.choice.place(self.now, id);
         self.obey(id, answer.clone());
         answer
@@ -179,7 +191,7 @@
             self.bound.insert(id % 7, build);
         }
         let took = self.now - h.deliveries[n].sent;
-        let answer = self.choice.after(self.now, id, n, End { outcome, took, closed });
+        let answer = self.choice.after(self.now, id, n, End { outcome, took, closed, held: None });
         self.obey(id, answer);
     }
 
