--- a/src/choice.rs
+++ b/src/choice.rs
@@ -277,8 +277,9 @@
 
     /// Whether the platform's counts show, in any lane, that the trial fails far more than the earlier build, or in
     /// all of them that it takes far longer; beyond chance. All agents know the same and agree at once.
-    fn tallied(&self, build: u32, earlier: u32) -> Option<&'static str> {
-        let (t, e) = (&self.builds.get(&build)?.tallied, &self.builds.get(&earlier)?.tallied);
+    fn tallied(&self, build: u32, earlier: u32) -> (Option<&'static str>, bool) {
+        let of = |build| self.builds.get(&build).map_or(&[][..], |b| &b.tallied);
+        let (t, e) = (of(build), of(earlier));
         let worse = |(t, e): (&Tallied, &Tallied)| {
             let base = e.failed / e.all.max(1.0) + TALLY_SHARE;
             e.all >= LEAST_OUTCOMES
@@ -287,10 +288,9 @@
         };
         let (answers, ratio) = Tallied::pace(t, e);
         let slow = ratio > TALLY_SLOW && strange(answers, ratio / TALLY_PACE) > TALLY_APART;
-        match t.iter().zip(e).any(worse) {
-            true => Some("counted as failing"),
-            false => slow.then_some("counted as slow"),
-        }
+        let why = if t.iter().zip(e).any(worse) { Some("counted as failing") } else { None };
+        let even = answers > ENOUGH && ratio < TALLY_PACE;
+        (why.or(slow.then_some("counted as slow")), even)
     }
 
     /// Where to send this command now.
@@ -453,7 +453,8 @@
         // Until the build has settled, a hold once placed is kept on half of what placed it.
         let age = self.builds.get(&n.build).map_or(SETTLED, |b| now.saturating_sub(b.newest));
         let ease = if was && age < SETTLED { 0.5 } else { 1.0 };
-        let (worth, certain) = (1.0 / self.at.flagged_share.clamp(0.1, 1.0), CERTAIN + self.at.agents.ln());
+        let many = if self.at.jury { AGREED + self.at.one_of.ln() } else { CERTAIN + self.at.agents.ln() };
+        let (worth, certain) = (1.0 / self.at.flagged_share.clamp(0.1, 1.0), many);
         let (mut why, mut strength) = (None, 0.0f64);
         let (trial, before) = (self.totals(n.build), self.totals(earlier));
         let (pool, base, beside) = (Count::sum(&trial), Count::sum(&before), Count::sum(&self.beside.counts));
@@ -475,10 +476,12 @@
         let apart = apart((pool.flagged, pool.satisfied), (base.flagged, base.satisfied));
         let wrong = pool.flagged >= LEAST_FLAGS && apart > AGREED_WRONG + self.at.one_of.ln();
         let open = n.phase == Phase::Trial || n.phase == Phase::Released && age < SERVED;
-        let tallied = self.tallied(n.build, earlier).filter(|_| open);
+        let (tallied, even) = self.tallied(n.build, earlier);
+        let tallied = tallied.filter(|_| open);
         let d = &self.drag;
-        let agreed = self.at.jury && open && (d.slow || wrong) || tallied.is_some();
-        if agreed || n.phase == Phase::Trial && (d.alarm || d.sure && d.falls + u32::from(d.resting) > 1) {
+        let agreed = self.at.jury && open && (d.slow && !even || wrong) || tallied.is_some();
+        let drags = d.alarm || d.sure && d.falls + u32::from(d.resting) > 1;
+        if agreed || n.phase == Phase::Trial && drags && !even {
             strength = if d.alarm { LEAST_FAILURES / 2.0 } else { strength };
             let other = if wrong { "wrong answers" } else { "the fleet slows with it" };
             why = Some(tallied.unwrap_or(other).into());
@@ -692,7 +695,12 @@
         let (mut one, mut two) = (draw()?, draw()?);
         // A key's home is the same for all agents, by rendezvous hashing; it may be the busier one by a bit.
         let key = c.key.filter(|_| self.at.warm_keys && !again);
-        let far = |k: u64, f: &(usize, f64, f64)| rendezvous(k, self.fleet[f.0].mark, f.1);
+        let step = |kind| (self.rate(kind).log2() * 2.0).round();
+        let steps: Vec<f64> = (0..self.kinds.len()).map(|k| (step(k) / 2.0).exp2()).collect();
+        let far = |k: u64, f: &(usize, f64, f64)| {
+            let a = &self.fleet[f.0];
+            rendezvous(k, a.mark, steps[a.kind])
+        };
         let home = key.and_then(|k| fit.iter().min_by(|a, b| far(k, a).total_cmp(&far(k, b))));
         one = home.unwrap_or(one);
         let home = home.map(|f| f.0);
@@ -715,7 +723,7 @@
     /// kind as it ages. Guards small agents, whose own say nothing.
     fn busy(&self, now: Duration, a: &Appliance) -> f64 {
         let (mean, own) = (self.kinds[a.kind].held, a.in_flight as f64);
-        if self.kinds[a.kind].rate().is_none() {
+        if !self.kinds[a.kind].tells() {
             return own;
         }
         let (held, at) = a.held.unwrap_or((mean, now));
--- a/src/state.rs
+++ b/src/state.rs
@@ -205,6 +205,9 @@
         self.helds += 1.0;
         self.held += (n - self.held) * gain.max(1.0 / self.helds);
     }
+    pub fn tells(&self) -> bool {
+        self.helds > 0.0
+    }
     /// What one of them gets done, by Little's law; None while unknown.
     pub fn rate(&self) -> Option<f64> {
         (self.paces > 9.0 && self.helds > 9.0).then(|| (self.held + 1.0) / self.pace.max(0.05))
