--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -81,7 +81,8 @@
                 self.commands.insert(name.to_owned(), id);
                 self.in_hand.insert(id, InHand { name: name.to_owned(), out: 0, closed: false });
                 let work = item.maybe("estimate-ms").and_then(Value::as_f64).map(span);
-                self.choice.take(now, id, Command { lane, customer, key, left, work });
+                let again = item.flag("again-by-client")?;
+                self.choice.take(now, id, Command { lane, customer, key, left, work, again });
                 let answer = self.choice.place(now, id);
                 self.write(id, answer, said);
             }
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -139,6 +139,8 @@
                 by_clock: domain.text("decided-by")? == "timer",
                 in_place: domain.text("swap")? == "in_place",
                 back_votes: domain.whole_or("noes-needed", 1)? as u32,
+                tallied: domain.number_or("tally-every-ms", 0.0)? > 0.0
+                    && domain.number_or("counted-share", 0.0)? > 0.0,
                 hold_votes: domain.whole_or("votes-to-hold", 1)? as u32,
                 vote_life: domain.span("vote-ttl-ms")?,
                 vote_wait: domain.span("vote-wait-ms")?,
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -144,6 +144,7 @@
             in_place: false,
             back_votes: 1,
             hold_votes: 1,
+            tallied: false,
             vote_life: secs(10),
             vote_wait: Duration::from_millis(800),
             votes_per_s: 120.0,
@@ -721,7 +722,7 @@
         if let Some(z) = &mut a.zones {
             z.taken(now, lane);
         }
-        a.choice.take(now, id, Command { lane, customer: None, key, left, work: None });
+        a.choice.take(now, id, Command { lane, customer: None, key, left, work: None, again: false });
         let answer = a.choice.place(now, id);
         self.played.taken += 1;
         self.second(agent).taken += 1;
--- a/crates/zones/benches/agent/mod.rs
+++ b/crates/zones/benches/agent/mod.rs
@@ -73,7 +73,7 @@
         self.choice.take(
             now,
             id,
-            Command { lane, customer: None, key: Some(id), left: ms(1500), work: None },
+            Command { lane, customer: None, key: Some(id), left: ms(1500), work: None, again: false },
         );
         if let Answer::Send { appliance, .. } = self.choice.place(now, id) {
             let to = appliance % self.of_zone;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -122,7 +122,7 @@
     /// A command has come in.
     pub fn take(&mut self, now: Duration, id: u64, c: Command) {
         self.load.spare = (self.load.spare + RETRY_EACH).min(RETRY_MOST);
-        self.intake.taken += 1.0;
+        self.intake.taken += if c.again { 0.0 } else { 1.0 };
         for b in self.builds.values_mut() {
             let slot = self.at.slot(c.lane);
             b.tokens[slot] = (b.tokens[slot] + b.cap).min(self.at.free);
@@ -289,7 +289,7 @@
         let (answers, ratio) = Tallied::pace(t, e);
         let slow = ratio > TALLY_SLOW && strange(answers, ratio / TALLY_PACE) > TALLY_APART;
         let why = if t.iter().zip(e).any(worse) { Some("counted as failing") } else { None };
-        let even = answers > ENOUGH && ratio < TALLY_PACE;
+        let even = self.at.tallied && (answers < LEAST_OUTCOMES || ratio < TALLY_PACE);
         (why.or(slow.then_some("counted as slow")), even)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -353,8 +353,9 @@
     pub one_way: bool,
     pub votes: bool,
     pub in_place: bool,
-    pub jury: bool,  // several agents must agree to send back
-    pub one_of: f64, // how many agents there are for each of these
+    pub tallied: bool, // the platform counts outcomes for all
+    pub jury: bool,    // several agents must agree to send back
+    pub one_of: f64,   // how many agents there are for each of these
     pub vote_life: Duration,
     pub vote_wait: Duration,
     pub vote_share: f64, // seconds between votes that leave the others theirs
@@ -505,6 +506,7 @@
             one_way: r.one_way,
             votes: r.by_clock,
             in_place: r.in_place,
+            tallied: r.tallied,
             jury: r.back_votes > 1,
             one_of: f64::from(d.agents).max(1.0) / f64::from(r.back_votes.max(1)),
             vote_life: r.vote_life,
--- a/src/types.rs
+++ b/src/types.rs
@@ -93,6 +93,7 @@
     pub in_place: bool,
     pub back_votes: u32, // agents that must agree to send back
     pub hold_votes: u32, // and to stop the clock
+    pub tallied: bool,   // the platform counts outcomes for all
     pub vote_life: Duration,
     pub vote_wait: Duration,
     pub votes_per_s: f64,
@@ -138,6 +139,8 @@
     pub left: Duration,
     /// A rough hint of what it costs, where its client gave one.
     pub work: Option<Duration>,
+    /// Its client says that it has asked for the same before.
+    pub again: bool,
 }
 
 /// One line of the list of appliances.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -192,7 +192,7 @@
                 choice.take(
                     now,
                     id,
-                    Command { lane, customer: Some(0), key: None, left: ms(3400), work: None },
+                    Command { lane, customer: Some(0), key: None, left: ms(3400), work: None, again: false },
                 );
                 asks.push((id, choice.place(now, id)));
             }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -46,6 +46,7 @@
             in_place: false,
             back_votes: 1,
             hold_votes: 1,
+            tallied: false,
             vote_life: ms(6000),
             vote_wait: ms(1000),
             votes_per_s: 40.0,
@@ -163,7 +164,11 @@
         self.held.insert(id, held);
         self.taken.push((self.now, lane));
         let customer = Some(id as usize % 2);
-        self.choice.take(self.now, id, Command { lane, customer, key: Some(id % 7), left, work: None });
+        self.choice.take(
+            self.now,
+            id,
+            Command { lane, customer, key: Some(id % 7), left, work: None, again: false },
+        );
         let answer = self.choice.place(self.now, id);
         self.obey(id, answer.clone());
         answer
