--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -127,6 +127,7 @@
             cold_share: rules.number_or("cold-share", 0.1)?,
             cold_for: rules.span_or("cold-ms", 10_000.0)?,
             fall_for: rules.span_or("fall-ms", 2_000.0)?,
+            fall_multiple: rules.number_or("fall-multiple", 2.0)?,
             probes: limits.flag("probes")?,
             warm_keys: domain.flag("warm-keys")?,
             tick: s.span_or("granularity-ms", 1.0)?,
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -131,6 +131,7 @@
         cold_share: 0.3,
         cold_for: secs(4),
         fall_for: secs(2),
+        fall_multiple: 3.0,
         probes: false,
         warm_keys: false,
         tick: Duration::from_millis(1),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,7 +29,6 @@
 const BACK_FADE: f64 = 0.98; // each survey that shows none
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
 const DRAG_AT: f64 = 1.75; // times the pace before the trial
-const DRAG_TEST: Duration = ms(1500); // four of these make a round
 const PACE_FADE: f64 = 0.96; // each survey: answers of the last seconds
 const ENOUGH: f64 = 40.0; // answers that are kept of late, however few come in a second
 const AGREED: f64 = 2.5; // beyond chance at as many agents as must agree
@@ -38,7 +37,6 @@
 const GROWN: f64 = 1.3; // times the calm intake: what is slow then may be the load's
 const ALARM: f64 = 6.0;
 const QUICK_SHARE: f64 = 0.3; // of answers quicker than half were before the trial
-const SLOW_SHARE: f64 = 0.8; // of the earlier build's share of quick answers
 const CERTAIN: f64 = 3.0; // how far beyond chance, as a logarithm; more the more agents look
 const LEFT: f64 = 0.05; // of their load, to appliances that go at the release
 const TALLY_SHARE: f64 = 0.2; // of a lane's deliveries, beyond the earlier build's
@@ -65,7 +63,6 @@
 const EASY: f64 = 0.2; // of the quoted time: answers this quick need no bound
 const FIRST_GUESS: f64 = 0.15; // of the quoted time: an answer before any has come
 const RATE_GAIN: f64 = 0.2; // each survey
-const FALLEN: f64 = 0.6; // of the highest limit of late
 const GAP: Duration = ms(250); // between calls of a kind, doubled as they fail
 const BLAME_GAIN: f64 = 0.15;
 const RETRY_EACH: f64 = 0.1; // further deliveries earned by each command
@@ -91,7 +88,7 @@
     drag: Drag,
     customer_load: Vec<f64>,
     crossings: Crossings,
-    warm_sends: Sends,
+    carried: Mean,         // answers of a warm appliance in a survey
     sick_until: Duration,  // single machines of the earlier build fail, too
     lossy_until: Duration, // its answers are lost, too
     load: Load,
@@ -163,7 +160,9 @@
                 continue;
             }
             let cold = e.started.filter(|s| *s + self.at.cold_for > now);
-            self.fleet[e.appliance] = Appliance::listed(e, self.lanes.len(), in_flight, cold);
+            let quota = chance(&mut self.rng);
+            self.fleet[e.appliance] =
+                Appliance { quota, ..Appliance::listed(e, self.lanes.len(), in_flight, cold) };
             let b = self.build(e.build);
             b.newest = b.newest.max(e.started.unwrap_or_default());
         }
@@ -187,8 +186,7 @@
             return;
         }
         if known != Some(n.build) {
-            let Drag { took, answers, before, .. } = self.drag;
-            self.drag = Drag { took, answers, before: before.max(1.0), ..Drag::default() };
+            self.drag = Drag::default();
             self.beside.counts.fill(Count::default());
             self.bound.retain(|_, b| *b >= n.build);
             let oldest = earlier(&self.builds, n.build);
@@ -265,7 +263,7 @@
         let a = &mut self.fleet[i];
         (a.held, a.since, a.asked) = (Some((held, now)), 0.0, None);
         if a.cold_since.is_none() && a.standing == Standing::Running {
-            self.kinds[a.kind].held(held, KIND_GAIN);
+            self.kinds[a.kind].held.follow(held, KIND_GAIN);
         }
     }
 
@@ -480,8 +478,7 @@
         let tallied = tallied.filter(|_| open);
         let d = &self.drag;
         let agreed = self.at.jury && open && (d.slow && !even || wrong) || tallied.is_some();
-        let drags = d.alarm || d.sure && d.falls + u32::from(d.resting) > 1;
-        if agreed || n.phase == Phase::Trial && drags && !even {
+        if agreed || n.phase == Phase::Trial && d.alarm && !even {
             strength = if d.alarm { LEAST_FAILURES / 2.0 } else { strength };
             let other = if wrong { "wrong answers" } else { "the fleet slows with it" };
             why = Some(tallied.unwrap_or(other).into());
@@ -510,54 +507,28 @@
         self.votes.want = verdict.map(|verdict| Vote { build: n.build, stage: n.stage, verdict });
     }
 
-    /// Guards against a build that slows old and new alike in step with its traffic. Once answers are slower
-    /// than before the trial it gets a trickle for a while, from all agents at once, as they count these
-    /// spells from the beginning of the stage. If the answers recover twice, the build is the cause; if not,
-    /// this pace is the new measure. Only what is beyond chance holds. Costs a good build some spells.
+    /// Guards against a build that slows old and new alike. Costs a good build a hold where all slows by chance.
     fn drags(&mut self, now: Duration, n: &News) {
         let started = n.phase == Phase::Trial && self.running().any(|(_, a)| a.build == n.build);
-        let spell = (now.saturating_sub(n.began).as_secs_f64() / DRAG_TEST.as_secs_f64()) as u64;
         let newest = self.builds.get(&n.build).map_or(now, |b| b.newest);
-        // Guards where no agent sees enough to hold: all answers of late against those while none was judged,
-        // by what is slower than half of these. So many agents as must agree would hardly err together by
-        // chance; but a load that grew might deceive them all. May pass over a bad build in a rush.
-        let (quick, sure) = LaneView::slowed(&self.lanes);
-        let slow = quick < QUICK_SHARE && sure > AGREED + self.at.one_of.ln();
+        // Guards where no agent sees enough to hold: all answers of late against those while none was judged, by
+        // their mean, and as some slow machines leave the quick half alone by that, too. So many agents as must
+        // agree would hardly err together by chance; but a load that grew might deceive them all, so that a bad
+        // build may pass in a rush.
+        let (quick, ratio, answers) = LaneView::slowed(&self.lanes);
+        let sure =
+            quick < QUICK_SHARE && ratio > DRAG_AT && strange(answers, ratio) > AGREED + self.at.one_of.ln();
         let d = &mut self.drag;
-        d.slow = slow && now < newest + SERVED && self.intake.grown() < GROWN;
-        let pace = d.took / d.answers.max(1.0);
+        d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN;
         d.fade(PACE_FADE);
-        if !started && d.answers > 2.0 {
-            d.before += (pace.max(1.0) - d.before) * 0.02;
-        }
-        d.before = d.before.max(1.0);
-        let ratio = (pace / d.before).max(1.0);
-        d.sure |= started && ratio > DRAG_AT && d.strange(ratio) > CERTAIN + self.at.agents.ln();
         // Right after more of it came up, the quick half of the answers is gone: held at once, and sent back
         // where its places are taken if that lasts. Some slow machines or a slow way leave the quick answers.
         // If nearly all of the trial's own are gone, it needs more work than the earlier build.
         let ((share, gone), (own, apart)) = (d.quick_share(0), d.quick_share(1));
         let slow =
             own < QUICK_SHARE * 0.7 && share > QUICK_SHARE * 1.4 && apart > ALARM + self.at.agents.ln();
-        d.heavy |= started && own < share * SLOW_SHARE && apart > ALARM + self.at.agents.ln();
         let sudden = now < newest + SETTLED && share < QUICK_SHARE && gone > ALARM + self.at.agents.ln();
         d.alarm = started && (sudden || slow || d.alarm && share.min(own * 1.4) < QUICK_SHARE * 1.2);
-        if std::mem::replace(&mut d.spell, spell) == spell || !started {
-            return;
-        }
-        // Four to a round: the first two are for rest, and its second half is what is measured.
-        match spell % 4 {
-            0 if d.falls < 2 && d.answers > 2.0 && ratio > DRAG_AT => (d.worst, d.resting) = (pace, true),
-            1 if d.resting => (d.took, d.answers) = (0.0, 0.0),
-            2 if d.resting => {
-                let recovered = pace < d.before + (d.worst - d.before) * 0.4;
-                d.resting = false;
-                d.falls = if recovered { d.falls + 1 } else { 0 };
-                (d.before, d.sure) =
-                    if recovered { (d.before, d.sure) } else { ((d.before * pace).sqrt(), false) };
-            }
-            _ => {}
-        }
     }
 
     /// Counts of a build by lane. Appliances set aside are left out of an earlier build: their lost answers
@@ -629,11 +600,8 @@
         let lasts = |n: &&News| bound >= n.build && matches!(n.phase, Phase::Trial | Phase::Released);
         let kept = self.news.as_ref().filter(lasts);
         let floor = kept.map_or(0, |n| n.build);
-        let since = now.saturating_sub(self.at.fall_for);
         let count = |of: &dyn Fn(&Appliance) -> bool| self.running().filter(|(_, a)| of(a)).count() as f64;
         let (near, all) = (count(&|a| a.zone == self.at.zone), count(&|_| true).max(1.0));
-        let warm = count(&|a| a.cold_since.is_none()).max(all / 2.0);
-        let carried = self.warm_sends.since(since) / warm * self.crossings.cold;
         let side = |zone: usize| match self.crossings.zones.get(zone) {
             Some(Crossing { draw: Some(draw), .. }) => *draw,
             _ if zone == self.at.zone => 1.0,
@@ -649,7 +617,7 @@
             _ if places < all => self.running().map(|(_, a)| side(a.zone)).sum::<f64>() / all,
             _ => 1.0, // nothing is on trial
         };
-        let doubted = self.drag.resting || self.drag.falls > 0 || self.builds.values().any(|b| b.regressed);
+        let doubted = self.builds.values().any(|b| b.regressed);
         let yields =
             if self.at.in_place || doubted { 1.0 } else { (1.0 - fresh / places.max(1.0)).max(LEFT) };
         let again = !c.deliveries.is_empty();
@@ -661,15 +629,12 @@
             {
                 continue;
             }
-            // Cold: no more than its part of what a warm one carries from here, so that the sum over all
-            // agents keeps to that part too, however unequal they are.
             let ramp = self.at.ramp(now, a);
-            if a.cold_since.is_some() && a.sends.since(since) >= ramp * carried {
+            if a.cold_since.is_some() && a.quota < 1.0 {
                 continue;
             }
             let trial = self.on_trial(a.build);
-            let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed)
-                || trial && (self.drag.resting || self.drag.falls > 1);
+            let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed);
             // The build on trial gets an even share from every zone, a regressed one a trickle.
             let share = if trial { fair } else { side(a.zone) * yields };
             let rate = self.rate(a.kind);
@@ -723,7 +688,8 @@
     /// kind as it ages. Guards small agents, whose own say nothing.
     fn busy(&self, now: Duration, a: &Appliance) -> f64 {
         let (mean, own) = (self.kinds[a.kind].held, a.in_flight as f64);
-        if !self.kinds[a.kind].tells() {
+        let (mean, tells) = (mean.now, mean.seen > 0.0);
+        if !tells {
             return own;
         }
         let (held, at) = a.held.unwrap_or((mean, now));
@@ -779,8 +745,7 @@
         a.in_flight += 1;
         a.since += 1.0;
         a.unheard.get_or_insert(now);
-        let log = if a.cold_since.is_some() { &mut a.sends } else { &mut self.warm_sends };
-        log.add(now, self.at.fall_for);
+        a.quota -= 1.0;
         self.load.in_flight += 1;
         let slot = self.at.slot(c.lane);
         if self.on_trial(build) {
@@ -816,7 +781,7 @@
             Outcome::Satisfied | Outcome::Failed | Outcome::TurnedAway => {
                 if a.strikes > 2 && a.cold_since.is_none() {
                     // Back from silence: it may be a restart that the list has not told yet.
-                    a.cold_since = Some(now);
+                    (a.cold_since, a.quota) = (Some(now), chance(&mut self.rng));
                 }
                 a.unheard = Some(now);
                 a.strikes = 0;
@@ -857,22 +822,22 @@
                 follow(&mut l.high, took);
                 follow(&mut a.high, x);
             }
+            self.load.done += if a.cold_since.is_none() { 1.0 } else { 0.0 };
             if a.cold_since.is_none() && !stalled {
-                self.kinds[a.kind].pace(x, KIND_GAIN);
+                self.kinds[a.kind].pace.follow(x, KIND_GAIN);
                 // Guards a build that only other zones hold: the way there is not its work.
                 let bare = (took - way).max(0.0);
                 (if judged { &mut l.late } else { &mut l.calm }).add(bare);
                 let step = if bare > l.half { 1.03 } else { 0.97 };
                 l.half *= if quiet { step } else { 1.0 };
                 let counted = !quiet && (newest || a.zone == self.at.zone);
-                self.drag.hear(bare / l.before, usize::from(newest), counted.then_some(bare <= l.half));
+                self.drag.hear(usize::from(newest), counted.then_some(bare <= l.half));
                 if !trial {
                     l.seen = (l.seen + 1.0).min(50.0);
                     l.usual += (took.min(l.usual * 10.0) - l.usual) / l.seen;
                     let side = if a.zone == self.at.zone { &mut self.load.near } else { &mut self.load.far };
                     *side += (x - *side) * 0.03;
                 }
-                l.before = if quiet { l.usual } else { l.before };
             }
             if a.failing < SICK_SHARE && a.aside.take().is_some() {
                 a.aside_for = ASIDE_FIRST;
@@ -900,6 +865,11 @@
             let fades = build >= trial || Count::sum(counts).all() > KEEP;
             counts.iter_mut().filter(|_| fades).for_each(|c| c.mix(fade, &Count::default()));
         };
+        let warm = self.running().filter(|(_, a)| a.cold_since.is_none()).count() as f64;
+        let (done, window) = (std::mem::take(&mut self.load.done), self.at.fall_for.div_duration_f64(SURVEY));
+        if warm * 4.0 > self.running().count() as f64 {
+            self.carried.follow(done / warm, KIND_GAIN);
+        }
         let median = |of: &dyn Fn(&Appliance) -> bool| {
             let warm = self.running().filter(|(_, a)| a.cold_since.is_none() && of(a));
             let highs = sorted(warm.map(|(_, a)| a.high));
@@ -908,10 +878,14 @@
         let all = median(&|_| true).unwrap_or(1.0);
         let side = |kind, newest| median(&|a| a.kind == kind && (a.build >= trial) == newest).unwrap_or(all);
         let fellows: Vec<_> = (0..self.kinds.len()).map(|k| [side(k, false), side(k, true)]).collect();
+        let rates: Vec<f64> = (0..self.kinds.len()).map(|k| self.rate(k) * self.at.cold_part).collect();
         for a in &mut self.fleet {
-            if a.cold_since.is_some_and(|t| now >= t + self.at.cold_for) {
-                (a.cold_since, a.sends) = (None, Sends::default());
-            }
+            a.cold_since = a.cold_since.filter(|t| now < *t + self.at.cold_for);
+            // Cold: its part of what a warm one answers here, in whole deliveries that begin by chance, so that the
+            // sum over all agents keeps to that part, too, however many and unequal they are. Guards against a
+            // first one of each. Where nearly all are cold, what they answered while warm; commands are denied.
+            let each = self.at.ramp(now, a) * self.carried.now * self.crossings.cold * rates[a.kind];
+            a.quota = (a.quota.max(-1.0) + each).min(f64::max(each * window, 1.0));
             let median = fellows[a.kind][usize::from(a.build >= trial)];
             // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
             let pace = (a.high / median).max(0.3);
@@ -941,12 +915,7 @@
             room += l.rate * (l.quoted * TARGET).max(l.least * 1.2);
             good &= l.usual < l.quoted * EASY;
         }
-        // Guards against a limit that falls with the rate it lets through, once the newest build was seen to
-        // be slow: what stays slow though it has fallen far is no queue. May let waits grow by a fifth.
         let limit = room + room.sqrt() + 2.0;
-        let fell = limit < self.load.peak * FALLEN && self.drag.heavy && !good;
-        self.lanes.iter_mut().filter(|_| fell).for_each(|l| l.least = l.usual);
-        self.load.peak = if good || fell { limit } else { (self.load.peak * 0.998).max(limit) };
         self.load.limit = (!good).then_some(limit);
         let patience = self.patience();
         self.load.stuck = self.fleet.iter().filter(|a| a.silent(now, patience)).map(|a| a.in_flight).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use crate::types::*;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 pub(crate) const fn ms(n: u64) -> Duration {
@@ -21,20 +21,17 @@
     values
 }
 
-/// When deliveries went out, as far back as is asked for.
-#[derive(Default)]
-pub(crate) struct Sends(VecDeque<Duration>);
+/// A mean that follows what is new, faster while little is known.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Mean {
+    pub now: f64,
+    pub seen: f64,
+}
 
-impl Sends {
-    pub fn add(&mut self, now: Duration, keep: Duration) {
-        self.0.push_back(now);
-        while self.0.front().is_some_and(|t| *t <= now.saturating_sub(keep)) {
-            self.0.pop_front();
-        }
-    }
-    pub fn since(&self, after: Duration) -> f64 {
-        // In the order of their times: a busy agent has tens of thousands here, and asks at each command.
-        (self.0.len() - self.0.partition_point(|t| *t <= after)) as f64
+impl Mean {
+    pub fn follow(&mut self, x: f64, gain: f64) {
+        self.seen += 1.0;
+        self.now += (x - self.now) * gain.max(1.0 / self.seen);
     }
 }
 
@@ -43,8 +40,8 @@
 pub(crate) struct Load {
     pub in_flight: usize,
     pub stuck: usize,
+    pub done: f64, // answers of warm appliances in this survey
     pub limit: Option<f64>,
-    pub peak: f64,  // the highest limit of late
     pub spare: f64, // further deliveries earned
     pub blame: f64, // the part of failures that were the appliance's, not the command's
     pub near: f64,  // answer times of the own zone and of the others, against the usual
@@ -100,6 +97,10 @@
         };
         self.0.iter().position(over).unwrap_or(0) + 1
     }
+    /// Of all of them together, in milliseconds, by the middle of each size.
+    pub fn sum(&self) -> f64 {
+        self.0.iter().enumerate().map(|(i, n)| n * ((i as f64 + 0.5) / 4.0).exp2()).sum()
+    }
     pub fn from(&self, size: usize) -> f64 {
         self.0.iter().skip(size).sum()
     }
@@ -180,37 +181,24 @@
     pub high: f64, // a high quantile of its answer times
     pub weight: f64,
     pub counts: Vec<Count>,
-    pub sends: Sends,
+    pub quota: f64,                    // deliveries that it may get while cold
     pub held: Option<(f64, Duration)>, // commands that it said it held, and when
     pub since: f64,                    // sent to it from here since then
     pub asked: Option<Duration>,       // for its load, and not yet heard
 }
 
-/// Machines of one kind: means of their answer times against the usual, and of what they say they hold.
+/// Machines of one kind: their answer times against the usual, and what they say they hold.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Kind {
-    pub pace: f64,
-    pub held: f64,
-    paces: f64,
-    helds: f64,
+    pub pace: Mean,
+    pub held: Mean,
 }
 
 impl Kind {
-    /// Follows by `gain`, faster while little is known.
-    pub fn pace(&mut self, x: f64, gain: f64) {
-        self.paces += 1.0;
-        self.pace += (x - self.pace) * gain.max(1.0 / self.paces);
-    }
-    pub fn held(&mut self, n: f64, gain: f64) {
-        self.helds += 1.0;
-        self.held += (n - self.held) * gain.max(1.0 / self.helds);
-    }
-    pub fn tells(&self) -> bool {
-        self.helds > 0.0
-    }
     /// What one of them gets done, by Little's law; None while unknown.
     pub fn rate(&self) -> Option<f64> {
-        (self.paces > 9.0 && self.helds > 9.0).then(|| (self.held + 1.0) / self.pace.max(0.05))
+        let known = self.pace.seen.min(self.held.seen) > 9.0;
+        known.then(|| (self.held.now + 1.0) / self.pace.now.max(0.05))
     }
 }
 
@@ -292,22 +280,13 @@
     }
 }
 
-/// The test whether a build on trial drags the whole fleet down.
+/// Whether a build on trial drags the whole fleet down.
 #[derive(Default)]
 pub(crate) struct Drag {
-    pub took: f64, // answer times of late against those before the trial
-    pub answers: f64,
-    pub before: f64,
-    pub worst: f64,
-    pub spell: u64,
-    pub resting: bool,
-    pub falls: u32,
     pub quick: [f64; 2], // answers of the earlier build and of the trial quicker than half were before,
     pub seen: [f64; 2],  // of those seen of late
     pub alarm: bool,
-    pub heavy: bool, // its own quick answers were fewer than the earlier build's, beyond chance
-    pub slow: bool,  // the same of all answers, surely enough for one of several that must agree
-    pub sure: bool,  // slower than chance would have it at any of the agents
+    pub slow: bool, // all answers, surely enough for one of several that must agree
 }
 
 #[derive(Default)]
@@ -315,11 +294,10 @@
     pub quoted: f64,
     pub benefit: f64,
     pub repeats: Repeats,
-    pub seen: f64,   // answers, fifty at most
-    pub usual: f64,  // seconds of an answer now,
-    pub least: f64,  // at its lowest of late,
-    pub before: f64, // before the trial
-    pub half: f64,   // quicker than half of the answers before the trial
+    pub seen: f64,  // answers, fifty at most
+    pub usual: f64, // seconds of an answer now,
+    pub least: f64, // at its lowest of late,
+    pub half: f64,  // quicker than half of the answers before the trial
     pub high: f64,
     pub done: f64,
     pub rate: f64,
@@ -343,6 +321,7 @@
     pub cold_share: f64,
     pub cold_for: Duration,
     pub fall_for: Duration,
+    pub cold_part: f64, // of what a warm one carries, where less than twice that topples a cold one
     pub probes: bool,
     pub warm_keys: bool,
     pub shares: Vec<f64>, // of the customers
@@ -367,8 +346,7 @@
     pub fn new(l: &Lane, guess: f64) -> LaneView {
         let quoted = l.quoted.as_secs_f64();
         let (usual, benefit, repeats) = (quoted * guess, l.benefit, l.repeats);
-        let view =
-            LaneView { quoted, benefit, repeats, usual, least: usual, before: usual, ..LaneView::default() };
+        let view = LaneView { quoted, benefit, repeats, usual, least: usual, ..LaneView::default() };
         LaneView { half: usual * 0.7, high: usual * 2.0, seen: 5.0, ..view }
     }
 }
@@ -382,36 +360,28 @@
         self.late.fade(if judged { late } else { 0.0 });
     }
 
-    /// Of the answers of late the share that is quicker than half of the calm ones of their lane, and how far
-    /// this is apart from the calm ones'.
-    pub fn slowed(lanes: &[LaneView]) -> (f64, f64) {
-        let (mut slow, mut all, mut due, mut of) = (0.0, 0.0, 0.0, 0.0);
-        for l in lanes {
-            let (middle, n) = (l.calm.middle(), l.late.all());
-            slow += l.late.from(middle);
-            due += n * l.calm.from(middle) / l.calm.all().max(1.0);
-            (all, of) = (all + n, of + l.calm.all());
+    /// Of the answers of late: the share quicker than half of the calm ones of their lane, their mean time against
+    /// the calm ones', and how many there are.
+    pub fn slowed(lanes: &[LaneView]) -> (f64, f64, f64) {
+        let (mut slow, mut all, mut took) = (0.0, 0.0, 0.0);
+        for l in lanes.iter().filter(|l| l.calm.all() > 0.0) {
+            slow += l.late.from(l.calm.middle());
+            all += l.late.all();
+            took += l.late.sum() / (l.calm.sum() / l.calm.all());
         }
-        let (quick, base) = (1.0 - slow / all.max(1.0), due / all.max(1.0) * of);
-        (quick, apart((slow, all), (base, of)))
+        (1.0 - slow / f64::max(all, 1.0), took / f64::max(all, 1.0), all)
     }
 }
 
 impl Drag {
-    /// An answer, against the usual time before the trial; whether it was quick, where that is counted.
-    pub fn hear(&mut self, ratio: f64, side: usize, quick: Option<bool>) {
-        self.took += ratio.min(10.0);
-        self.answers += 1.0;
+    /// An answer; whether it was quick, where that is counted.
+    pub fn hear(&mut self, side: usize, quick: Option<bool>) {
         self.quick[side] += if quick == Some(true) { 1.0 } else { 0.0 };
         self.seen[side] += if quick.is_some() { 1.0 } else { 0.0 };
     }
     pub fn fade(&mut self, by: f64) {
-        (self.took, self.answers) = (self.took * by, self.answers * by);
         self.quick.iter_mut().chain(&mut self.seen).for_each(|n| *n *= by);
     }
-    pub fn strange(&self, ratio: f64) -> f64 {
-        strange(self.answers, ratio)
-    }
     /// The share of quick answers, and the same bound on it where half is usual.
     pub fn quick_share(&self, side: usize) -> (f64, f64) {
         let (quick, seen) = (self.quick[side], self.seen[side]);
@@ -496,6 +466,7 @@
             cold_share: d.cold_share,
             cold_for: d.cold_for,
             fall_for: d.fall_for,
+            cold_part: (d.fall_multiple / 2.0).clamp(0.1, 1.0),
             probes: d.probes,
             warm_keys: d.warm_keys,
             shares: d.customers.iter().map(|c| c.share).collect(),
--- a/src/types.rs
+++ b/src/types.rs
@@ -73,6 +73,8 @@
     pub cold_share: f64,
     pub cold_for: Duration,
     pub fall_for: Duration,
+    /// Times what it can do just then, for as long: a cold appliance falls over.
+    pub fall_multiple: f64,
     /// An appliance may be asked for its load.
     pub probes: bool,
     /// An appliance works faster for keys that it met lately.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -33,6 +33,7 @@
         cold_share: 0.3,
         cold_for: ms(4000),
         fall_for: ms(2000),
+        fall_multiple: 3.0,
         probes: false,
         warm_keys: false,
         tick: ms(5),
