--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,10 +39,11 @@
 const QUICK_SHARE: f64 = 0.3; // of answers quicker than half were before the trial
 const CERTAIN: f64 = 3.0; // how far beyond chance, as a logarithm; more the more agents look
 const LEFT: f64 = 0.05; // of their load, to appliances that go at the release
-const TALLY_SHARE: f64 = 0.2; // of a lane's deliveries, beyond the earlier build's
+const TALLY_SHARE: f64 = 0.06; // of a lane's deliveries, beyond the earlier build's
+const TALLY_LIFE: f64 = 4.0; // seconds until it weighs half, for both builds, so that it is of one time
 const TALLY_APART: f64 = 6.0; // beyond chance, as a logarithm
 const TALLY_SLOW: f64 = 1.6; // times the earlier build's time
-const TALLY_PACE: f64 = 1.3; // the same that warm keys and young machines explain
+const PACE_EXCUSED: f64 = 1.3; // times the usual that warm keys, young machines and long tails explain
 const WARM: f64 = 0.7; // what the home of a key weighs, as it does less work for it
 const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
 const FRESH: Duration = ms(150); // a load report that is not asked for again
@@ -278,6 +279,7 @@
     fn tallied(&self, build: u32, earlier: u32) -> (Option<&'static str>, bool) {
         let of = |build| self.builds.get(&build).map_or(&[][..], |b| &b.tallied);
         let (t, e) = (of(build), of(earlier));
+        let (all, base) = (Tallied::sum(t), Tallied::sum(e));
         let worse = |(t, e): (&Tallied, &Tallied)| {
             let base = e.failed / e.all.max(1.0) + TALLY_SHARE;
             e.all >= LEAST_OUTCOMES
@@ -285,9 +287,10 @@
                 && apart((t.failed, t.all), (e.failed, e.all)) > TALLY_APART
         };
         let (answers, ratio) = Tallied::pace(t, e);
-        let slow = ratio > TALLY_SLOW && strange(answers, ratio / TALLY_PACE) > TALLY_APART;
-        let why = if t.iter().zip(e).any(worse) { Some("counted as failing") } else { None };
-        let even = self.at.tallied && (answers < LEAST_OUTCOMES || ratio < TALLY_PACE);
+        let slow = ratio > TALLY_SLOW && strange(answers, ratio / PACE_EXCUSED) > TALLY_APART;
+        let why =
+            if t.iter().zip(e).chain([(&all, &base)]).any(worse) { Some("counted as failing") } else { None };
+        let even = self.at.tallied && (answers < LEAST_OUTCOMES || ratio < PACE_EXCUSED);
         (why.or(slow.then_some("counted as slow")), even)
     }
 
@@ -516,8 +519,8 @@
         // agree would hardly err together by chance; but a load that grew might deceive them all, so that a bad
         // build may pass in a rush.
         let (quick, ratio, answers) = LaneView::slowed(&self.lanes);
-        let sure =
-            quick < QUICK_SHARE && ratio > DRAG_AT && strange(answers, ratio) > AGREED + self.at.one_of.ln();
+        let beyond = if answers < ENOUGH / 2.0 { 0.0 } else { strange(answers, ratio / PACE_EXCUSED) };
+        let sure = quick < QUICK_SHARE && ratio > DRAG_AT && beyond > AGREED + self.at.one_of.ln();
         let d = &mut self.drag;
         d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN;
         d.fade(PACE_FADE);
@@ -859,7 +862,7 @@
     }
 
     fn survey(&mut self, now: Duration) {
-        let fade = 0.5f64.powf(SURVEY.as_secs_f64() / HALF_LIFE);
+        let [fade, tallied] = [HALF_LIFE, TALLY_LIFE].map(|life| 0.5f64.powf(SURVEY.as_secs_f64() / life));
         let trial = self.news.as_ref().map_or(0, |n| n.build);
         let old = |counts: &mut Vec<Count>, build: u32| {
             let fades = build >= trial || Count::sum(counts).all() > KEEP;
@@ -885,7 +888,7 @@
             // sum over all agents keeps to that part, too, however many and unequal they are. Guards against a
             // first one of each. Where nearly all are cold, what they answered while warm; commands are denied.
             let each = self.at.ramp(now, a) * self.carried.now * self.crossings.cold * rates[a.kind];
-            a.quota = (a.quota.max(-1.0) + each).min(f64::max(each * window, 1.0));
+            a.quota = (a.quota.max(-1.0) + each).min(1.0 + each * window);
             let median = fellows[a.kind][usize::from(a.build >= trial)];
             // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
             let pace = (a.high / median).max(0.3);
@@ -895,7 +898,7 @@
         }
         for (number, b) in &mut self.builds {
             old(&mut b.past, *number);
-            b.tallied.iter_mut().for_each(|t| t.fade(fade));
+            b.tallied.iter_mut().for_each(|t| t.fade(tallied));
         }
         self.beside.fade(fade, 0.5f64.powf(SURVEY.as_secs_f64() / LATE_LIFE));
         let rate = self.lanes.iter().map(|l| l.rate).sum::<f64>() * SURVEY.as_secs_f64();
--- a/src/state.rs
+++ b/src/state.rs
@@ -230,6 +230,14 @@
     pub fn fade(&mut self, by: f64) {
         (self.all, self.failed, self.took) = (self.all * by, self.failed * by, self.took * by);
     }
+    pub fn sum(of: &[Tallied]) -> Tallied {
+        let add = |a: Tallied, b: &Tallied| Tallied {
+            all: a.all + b.all,
+            failed: a.failed + b.failed,
+            took: a.took + b.took,
+        };
+        of.iter().fold(Tallied::default(), add)
+    }
     /// Of a build on trial against the earlier one, by lane: answers, and their mean time against that one's.
     pub fn pace(trial: &[Tallied], earlier: &[Tallied]) -> (f64, f64) {
         let (mut answers, mut took) = (0.0, 0.0);
@@ -321,7 +329,7 @@
     pub cold_share: f64,
     pub cold_for: Duration,
     pub fall_for: Duration,
-    pub cold_part: f64, // of what a warm one carries, where less than twice that topples a cold one
+    pub cold_part: f64, // of what a warm one carries: half of what topples it
     pub probes: bool,
     pub warm_keys: bool,
     pub shares: Vec<f64>, // of the customers
@@ -466,7 +474,7 @@
             cold_share: d.cold_share,
             cold_for: d.cold_for,
             fall_for: d.fall_for,
-            cold_part: (d.fall_multiple / 2.0).clamp(0.1, 1.0),
+            cold_part: (d.fall_multiple / 2.0).clamp(0.1, 2.0),
             probes: d.probes,
             warm_keys: d.warm_keys,
             shares: d.customers.iter().map(|c| c.share).collect(),
