--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,10 +31,11 @@
 const DRAG_AT: f64 = 1.75; // times the pace before the trial
 const PACE_FADE: f64 = 0.96; // each survey: answers of the last seconds
 const ENOUGH: f64 = 40.0; // answers that are kept of late, however few come in a second
-const AGREED: f64 = 2.5; // beyond chance at as many agents as must agree
+const AGREED: f64 = 1.0; // beyond what so many agents as must agree would say by chance
 const AGREED_WRONG: f64 = 1.0; // the same of wrong answers, which hardly come by chance at all
 const LEAST_FLAGS: f64 = 1.8; // two, of which one may have faded
 const GROWN: f64 = 1.3; // times the calm intake: what is slow then may be the load's
+const ABLE: f64 = 0.85; // of the fleet's full load: with less, all are slow for that
 const ALARM: f64 = 6.0;
 const QUICK_SHARE: f64 = 0.3; // of answers quicker than half were before the trial
 const CERTAIN: f64 = 3.0; // how far beyond chance, as a logarithm; more the more agents look
@@ -454,7 +455,7 @@
         // Until the build has settled, a hold once placed is kept on half of what placed it.
         let age = self.builds.get(&n.build).map_or(SETTLED, |b| now.saturating_sub(b.newest));
         let ease = if was && age < SETTLED { 0.5 } else { 1.0 };
-        let many = if self.at.jury { AGREED + self.at.one_of.ln() } else { CERTAIN + self.at.agents.ln() };
+        let many = if self.at.jury { AGREED + self.at.voice } else { CERTAIN + self.at.agents.ln() };
         let (worth, certain) = (1.0 / self.at.flagged_share.clamp(0.1, 1.0), many);
         let (mut why, mut strength) = (None, 0.0f64);
         let (trial, before) = (self.totals(n.build), self.totals(earlier));
@@ -483,7 +484,8 @@
         let agreed = self.at.jury && open && (d.slow && !even || wrong) || tallied.is_some();
         if agreed || n.phase == Phase::Trial && d.alarm && !even {
             strength = if d.alarm { LEAST_FAILURES / 2.0 } else { strength };
-            let other = if wrong { "wrong answers" } else { "the fleet slows with it" };
+            let slows = if d.alarm { "quick answers are gone" } else { "the fleet slows with it" };
+            let other = if wrong { "wrong answers" } else { slows };
             why = Some(tallied.unwrap_or(other).into());
         }
         let seen = why.is_some();
@@ -519,10 +521,13 @@
         // agree would hardly err together by chance; but a load that grew might deceive them all, so that a bad
         // build may pass in a rush.
         let (quick, ratio, answers) = LaneView::slowed(&self.lanes);
-        let beyond = if answers < ENOUGH / 2.0 { 0.0 } else { strange(answers, ratio / PACE_EXCUSED) };
-        let sure = quick < QUICK_SHARE && ratio > DRAG_AT && beyond > AGREED + self.at.one_of.ln();
+        let beyond = if answers < LEAST_OUTCOMES { 0.0 } else { strange(answers, ratio / PACE_EXCUSED) };
+        let sure = quick < QUICK_SHARE && ratio > DRAG_AT && beyond > AGREED + self.at.voice;
+        // In place, what is still cold is missed: its load slows all.
+        let able = self.running().map(|(_, a)| self.at.ramp(now, a)).sum::<f64>();
+        let short = self.at.in_place && able < ABLE * self.running().count() as f64;
         let d = &mut self.drag;
-        d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN;
+        d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN && !short;
         d.fade(PACE_FADE);
         // Right after more of it came up, the quick half of the answers is gone: held at once, and sent back
         // where its places are taken if that lasts. Some slow machines or a slow way leave the quick answers.
@@ -530,7 +535,8 @@
         let ((share, gone), (own, apart)) = (d.quick_share(0), d.quick_share(1));
         let slow =
             own < QUICK_SHARE * 0.7 && share > QUICK_SHARE * 1.4 && apart > ALARM + self.at.agents.ln();
-        let sudden = now < newest + SETTLED && share < QUICK_SHARE && gone > ALARM + self.at.agents.ln();
+        let sudden =
+            now < newest + SETTLED && !short && share < QUICK_SHARE && gone > ALARM + self.at.agents.ln();
         d.alarm = started && (sudden || slow || d.alarm && share.min(own * 1.4) < QUICK_SHARE * 1.2);
     }
 
@@ -765,6 +771,8 @@
         let round = Duration::from_secs_f64(round).clamp(ASIDE_FIRST, ASIDE_MOST * 2);
         let way = self.crossings.zones.get(self.fleet[i].zone).map_or(0.0, |t| t.added.as_secs_f64());
         let judged = self.judged(now);
+        let paces = || self.kinds.iter().filter_map(Kind::pace_of);
+        let mean = paces().sum::<f64>().max(0.05) / paces().count().max(1) as f64;
         let (a, l) = (&mut self.fleet[i], &mut self.lanes[lane]);
         let took = end.took.as_secs_f64();
         a.in_flight = a.in_flight.saturating_sub(1);
@@ -830,7 +838,9 @@
                 self.kinds[a.kind].pace.follow(x, KIND_GAIN);
                 // Guards a build that only other zones hold: the way there is not its work.
                 let bare = (took - way).max(0.0);
-                (if judged { &mut l.late } else { &mut l.calm }).add(bare);
+                // Guards agents that some troubles leave the slower kind of machines only.
+                let alike = bare * mean / Kind::pace_of(&self.kinds[a.kind]).unwrap_or(mean);
+                (if judged { &mut l.late } else { &mut l.calm }).add(alike);
                 let step = if bare > l.half { 1.03 } else { 0.97 };
                 l.half *= if quiet { step } else { 1.0 };
                 let counted = !quiet && (newest || a.zone == self.at.zone);
--- a/src/state.rs
+++ b/src/state.rs
@@ -195,6 +195,9 @@
 }
 
 impl Kind {
+    pub fn pace_of(&self) -> Option<f64> {
+        Some(self.pace.now).filter(|_| self.pace.seen > 9.0)
+    }
     /// What one of them gets done, by Little's law; None while unknown.
     pub fn rate(&self) -> Option<f64> {
         let known = self.pace.seen.min(self.held.seen) > 9.0;
@@ -343,6 +346,7 @@
     pub tallied: bool, // the platform counts outcomes for all
     pub jury: bool,    // several agents must agree to send back
     pub one_of: f64,   // how many agents there are for each of these
+    pub voice: f64,    // how sure each must be, as a logarithm, so that these are hardly as many by chance
     pub vote_life: Duration,
     pub vote_wait: Duration,
     pub vote_share: f64, // seconds between votes that leave the others theirs
@@ -369,15 +373,16 @@
     }
 
     /// Of the answers of late: the share quicker than half of the calm ones of their lane, their mean time against
-    /// the calm ones', and how many there are.
+    /// the calm ones', and how many this is known from, as both samples are small.
     pub fn slowed(lanes: &[LaneView]) -> (f64, f64, f64) {
-        let (mut slow, mut all, mut took) = (0.0, 0.0, 0.0);
-        for l in lanes.iter().filter(|l| l.calm.all() > 0.0) {
+        let (mut slow, mut all, mut took, mut calm) = (0.0, 1e-9, 0.0, 0.0);
+        for l in lanes.iter().filter(|l| l.calm.all() >= 5.0) {
             slow += l.late.from(l.calm.middle());
             all += l.late.all();
+            calm += l.calm.all();
             took += l.late.sum() / (l.calm.sum() / l.calm.all());
         }
-        (1.0 - slow / f64::max(all, 1.0), took / f64::max(all, 1.0), all)
+        (1.0 - slow / all, took / all, all * calm / (all + calm))
     }
 }
 
@@ -413,6 +418,13 @@
     -share.max(1e-18).ln() / weight.max(1e-9)
 }
 
+/// By Poisson: one in a thousand times as many as must agree err at once.
+fn voice(agents: u32, needed: u32) -> f64 {
+    let needed = needed.clamp(1, 10_000);
+    let factorial: f64 = (1..=needed).map(|i| f64::from(i).ln()).sum();
+    f64::from(agents.max(1)).ln() - (0.001f64.ln() + factorial) / f64::from(needed)
+}
+
 /// The newest build before this one.
 pub(crate) fn earlier(builds: &BTreeMap<u32, Build>, build: u32) -> u32 {
     builds.range(..build).next_back().map_or(0, |(number, _)| *number)
@@ -487,6 +499,7 @@
             in_place: r.in_place,
             tallied: r.tallied,
             jury: r.back_votes > 1,
+            voice: voice(d.agents, r.back_votes),
             one_of: f64::from(d.agents).max(1.0) / f64::from(r.back_votes.max(1)),
             vote_life: r.vote_life,
             vote_wait: r.vote_wait,
