--- a/src/state.rs
+++ b/src/state.rs
@@ -373,16 +373,16 @@
     }
 
     /// Of the answers of late: the share quicker than half of the calm ones of their lane, their mean time against
-    /// the calm ones', and how many this is known from, as both samples are small.
+    /// the calm ones' in quoted times, as a lane's own few calm ones tell little, and how many this is known from,
+    /// as both samples are small.
     pub fn slowed(lanes: &[LaneView]) -> (f64, f64, f64) {
-        let (mut slow, mut all, mut took, mut calm) = (0.0, 1e-9, 0.0, 0.0);
-        for l in lanes.iter().filter(|l| l.calm.all() >= 5.0) {
+        let (mut slow, mut all, mut took, mut calm, mut usual) = (0.0, 1e-9, 0.0, 1e-9, 1e-9);
+        for l in lanes.iter().filter(|l| l.quoted > 0.0) {
             slow += l.late.from(l.calm.middle());
-            all += l.late.all();
-            calm += l.calm.all();
-            took += l.late.sum() / (l.calm.sum() / l.calm.all());
+            (all, took) = (all + l.late.all(), took + l.late.sum() / l.quoted);
+            (calm, usual) = (calm + l.calm.all(), usual + l.calm.sum() / l.quoted);
         }
-        (1.0 - slow / all, took / all, all * calm / (all + calm))
+        (1.0 - slow / all, took / all / (usual / calm), all * calm / (all + calm))
     }
 }
 
