--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,6 +44,7 @@
 const TALLY_LIFE: f64 = 4.0; // seconds until it weighs half, for both builds, so that it is of one time
 const TALLY_APART: f64 = 6.0; // beyond chance, as a logarithm
 const TALLY_SLOW: f64 = 1.6; // times the earlier build's time
+const DRAG_EXCUSED: f64 = 1.5; // the same where no tally tells both builds of one time
 const PACE_EXCUSED: f64 = 1.3; // times the usual that warm keys, young machines and long tails explain
 const WARM: f64 = 0.7; // what the home of a key weighs, as it does less work for it
 const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
@@ -288,7 +289,7 @@
                 && apart((t.failed, t.all), (e.failed, e.all)) > TALLY_APART
         };
         let (answers, ratio) = Tallied::pace(t, e);
-        let slow = ratio > TALLY_SLOW && strange(answers, ratio / PACE_EXCUSED) > TALLY_APART;
+        let slow = ratio > TALLY_SLOW && strange(answers, ratio / DRAG_EXCUSED) > TALLY_APART;
         let why =
             if t.iter().zip(e).chain([(&all, &base)]).any(worse) { Some("counted as failing") } else { None };
         let even = self.at.tallied && (answers < LEAST_OUTCOMES || ratio < PACE_EXCUSED);
@@ -521,7 +522,7 @@
         // agree would hardly err together by chance; but a load that grew might deceive them all, so that a bad
         // build may pass in a rush.
         let (quick, ratio, answers) = LaneView::slowed(&self.lanes);
-        let beyond = if answers < LEAST_OUTCOMES { 0.0 } else { strange(answers, ratio / PACE_EXCUSED) };
+        let beyond = if answers < LEAST_OUTCOMES { 0.0 } else { strange(answers, ratio / DRAG_EXCUSED) };
         let sure = quick < QUICK_SHARE && ratio > DRAG_AT && beyond > AGREED + self.at.voice;
         // In place, what is still cold is missed: its load slows all.
         let able = self.running().map(|(_, a)| self.at.ramp(now, a)).sum::<f64>();
@@ -710,7 +711,7 @@
     /// Whether the two choices are asked for what they hold before one is taken.
     fn ask(&mut self, now: Duration, id: u64, choices: [usize; 2]) -> bool {
         let c = self.commands.get_mut(&id).filter(|c| c.deliveries.is_empty() && c.choices.is_none());
-        let Some(c) = c.filter(|_| self.at.probes) else { return false };
+        let Some(c) = c.filter(|_| self.at.probes && self.load.limit.is_some()) else { return false };
         c.choices = Some(choices);
         let before = self.asks.len();
         for i in choices {
