--- a/src/state.rs
+++ b/src/state.rs
@@ -486,7 +486,7 @@
             cold_share: d.cold_share,
             cold_for: d.cold_for,
             fall_for: d.fall_for,
-            cold_part: (d.fall_multiple / 2.0).clamp(0.1, 2.0),
+            cold_part: (d.fall_multiple * 0.7).clamp(0.1, 3.0),
             probes: d.probes,
             warm_keys: d.warm_keys,
             shares: d.customers.iter().map(|c| c.share).collect(),
