--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,6 +32,7 @@
 const PACE_FADE: f64 = 0.96; // each survey: answers of the last seconds
 const ENOUGH: f64 = 40.0; // answers that are kept of late, however few come in a second
 const AGREED: f64 = 1.0; // beyond what so many agents as must agree would say by chance
+const AGREED_FAILED: f64 = 1.5; // of failures, for each of those that must agree: few come by chance
 const AGREED_WRONG: f64 = 1.0; // the same of wrong answers, which hardly come by chance at all
 const LEAST_FLAGS: f64 = 1.8; // two, of which one may have faded
 const GROWN: f64 = 1.3; // times the calm intake: what is slow then may be the load's
@@ -44,7 +45,7 @@
 const TALLY_LIFE: f64 = 4.0; // seconds until it weighs half, for both builds, so that it is of one time
 const TALLY_APART: f64 = 6.0; // beyond chance, as a logarithm
 const TALLY_SLOW: f64 = 1.6; // times the earlier build's time
-const DRAG_EXCUSED: f64 = 1.5; // the same where no tally tells both builds of one time
+const DRAG_EXCUSED: f64 = 1.4; // the same where no tally tells both builds of one time
 const PACE_EXCUSED: f64 = 1.3; // times the usual that warm keys, young machines and long tails explain
 const WARM: f64 = 0.7; // what the home of a key weighs, as it does less work for it
 const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
@@ -456,7 +457,8 @@
         // Until the build has settled, a hold once placed is kept on half of what placed it.
         let age = self.builds.get(&n.build).map_or(SETTLED, |b| now.saturating_sub(b.newest));
         let ease = if was && age < SETTLED { 0.5 } else { 1.0 };
-        let many = if self.at.jury { AGREED + self.at.voice } else { CERTAIN + self.at.agents.ln() };
+        let many =
+            if self.at.jury { AGREED_FAILED + self.at.one_of.ln() } else { CERTAIN + self.at.agents.ln() };
         let (worth, certain) = (1.0 / self.at.flagged_share.clamp(0.1, 1.0), many);
         let (mut why, mut strength) = (None, 0.0f64);
         let (trial, before) = (self.totals(n.build), self.totals(earlier));
