--- a/src/choice.rs
+++ b/src/choice.rs
@@ -284,7 +284,7 @@
         let (t, e) = (of(build), of(earlier));
         let (all, base) = (Tallied::sum(t), Tallied::sum(e));
         let worse = |(t, e): (&Tallied, &Tallied)| {
-            let base = e.failed / e.all.max(1.0) + TALLY_SHARE;
+            let base = 2.0 * e.failed / e.all.max(1.0) + TALLY_SHARE;
             e.all >= LEAST_OUTCOMES
                 && t.failed > base * t.all
                 && apart((t.failed, t.all), (e.failed, e.all)) > TALLY_APART
