--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,7 +28,6 @@
 const BACK_WEIGHT: f64 = 12.0; // failures times the seconds for which they have shown
 const BACK_FADE: f64 = 0.98; // each survey that shows none
 const BACK_SHARE: f64 = 0.2; // of the places, once their earlier appliances are gone
-const DRAG_AT: f64 = 1.75; // times the pace before the trial
 const PACE_FADE: f64 = 0.96; // each survey: answers of the last seconds
 const ENOUGH: f64 = 40.0; // answers that are kept of late, however few come in a second
 const AGREED: f64 = 1.0; // beyond what so many agents as must agree would say by chance
@@ -45,8 +44,7 @@
 const TALLY_LIFE: f64 = 4.0; // seconds until it weighs half, for both builds, so that it is of one time
 const TALLY_APART: f64 = 6.0; // beyond chance, as a logarithm
 const TALLY_SLOW: f64 = 1.6; // times the earlier build's time
-const DRAG_EXCUSED: f64 = 1.4; // the same where no tally tells both builds of one time
-const PACE_EXCUSED: f64 = 1.3; // times the usual that warm keys, young machines and long tails explain
+const PACE_EXCUSED: f64 = 1.4; // times the usual that warm keys, young machines and long tails explain
 const WARM: f64 = 0.7; // what the home of a key weighs, as it does less work for it
 const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
 const FRESH: Duration = ms(150); // a load report that is not asked for again
@@ -229,22 +227,7 @@
 
     /// What each of so many zones holds now.
     pub fn rooms(&self, now: Duration, zones: usize) -> Vec<Room> {
-        let (patience, mut rooms) = (self.patience(), vec![Room::default(); zones]);
-        for a in &self.fleet {
-            let Some(room) = rooms.get_mut(a.zone).filter(|_| a.standing != Standing::Gone) else { continue };
-            room.in_flight += a.in_flight;
-            if a.standing == Standing::Draining {
-                room.draining += 1;
-                continue;
-            }
-            room.running += 1;
-            if a.aside.is_none() && !a.silent(now, patience) {
-                room.awake += 1;
-                room.warm += usize::from(a.cold_since.is_none());
-                room.open += a.weight * self.at.ramp(now, a);
-            }
-        }
-        rooms
+        rooms(&self.fleet, &self.at, now, self.patience(), zones)
     }
 
     /// A client found an answer of this appliance wrong.
@@ -290,7 +273,7 @@
                 && apart((t.failed, t.all), (e.failed, e.all)) > TALLY_APART
         };
         let (answers, ratio) = Tallied::pace(t, e);
-        let slow = ratio > TALLY_SLOW && strange(answers, ratio / DRAG_EXCUSED) > TALLY_APART;
+        let slow = ratio > TALLY_SLOW && strange(answers, ratio / PACE_EXCUSED) > TALLY_APART;
         let why =
             if t.iter().zip(e).chain([(&all, &base)]).any(worse) { Some("counted as failing") } else { None };
         let even = self.at.tallied && (answers < LEAST_OUTCOMES || ratio < PACE_EXCUSED);
@@ -524,8 +507,8 @@
         // agree would hardly err together by chance; but a load that grew might deceive them all, so that a bad
         // build may pass in a rush.
         let (quick, ratio, answers) = LaneView::slowed(&self.lanes);
-        let beyond = if answers < LEAST_OUTCOMES { 0.0 } else { strange(answers, ratio / DRAG_EXCUSED) };
-        let sure = quick < QUICK_SHARE && ratio > DRAG_AT && beyond > AGREED + self.at.voice;
+        let beyond = if answers < LEAST_OUTCOMES { 0.0 } else { strange(answers, ratio / PACE_EXCUSED) };
+        let sure = quick < QUICK_SHARE && beyond > AGREED + self.at.voice;
         // In place, what is still cold is missed: its load slows all.
         let able = self.running().map(|(_, a)| self.at.ramp(now, a)).sum::<f64>();
         let short = self.at.in_place && able < ABLE * self.running().count() as f64;
@@ -612,8 +595,6 @@
         let lasts = |n: &&News| bound >= n.build && matches!(n.phase, Phase::Trial | Phase::Released);
         let kept = self.news.as_ref().filter(lasts);
         let floor = kept.map_or(0, |n| n.build);
-        let count = |of: &dyn Fn(&Appliance) -> bool| self.running().filter(|(_, a)| of(a)).count() as f64;
-        let (near, all) = (count(&|a| a.zone == self.at.zone), count(&|_| true).max(1.0));
         let side = |zone: usize| match self.crossings.zones.get(zone) {
             Some(Crossing { draw: Some(draw), .. }) => *draw,
             _ if zone == self.at.zone => 1.0,
@@ -621,17 +602,18 @@
         };
         // Earlier appliances that go at the release leave their load to warm ones on trial, unless something
         // speaks against these. A bad build gets more of the late stages for it.
-        let fresh: f64 =
-            self.running().filter(|(_, a)| self.on_trial(a.build)).map(|(_, a)| self.at.ramp(now, a)).sum();
-        let places = all - count(&|a| self.on_trial(a.build));
-        let fair = match () {
-            _ if self.crossings.zones.is_empty() => (near + (all - near) * self.load.abroad) / all,
-            _ if places < all => self.running().map(|(_, a)| side(a.zone)).sum::<f64>() / all,
-            _ => 1.0, // nothing is on trial
-        };
+        let (mut all, mut places, mut fresh, mut fair) = (0.0, 0.0, 0.0, 0.0);
+        for (_, a) in self.running() {
+            (all, fair) = (all + 1.0, fair + side(a.zone));
+            match self.on_trial(a.build) {
+                true => fresh += self.at.ramp(now, a),
+                false => places += 1.0,
+            }
+        }
+        let fair = fair / f64::max(all, 1.0);
         let doubted = self.builds.values().any(|b| b.regressed);
         let yields =
-            if self.at.in_place || doubted { 1.0 } else { (1.0 - fresh / places.max(1.0)).max(LEFT) };
+            if self.at.in_place || doubted { 1.0 } else { (1.0 - fresh / f64::max(places, 1.0)).max(LEFT) };
         let again = !c.deliveries.is_empty();
         let mut pool: [Vec<(usize, f64, f64)>; 4] = Default::default();
         for (i, a) in self.running() {
@@ -649,7 +631,7 @@
             let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed);
             // The build on trial gets an even share from every zone, a regressed one a trickle.
             let share = if trial { fair } else { side(a.zone) * yields };
-            let rate = self.rate(a.kind);
+            let rate = self.kinds[a.kind].rate;
             let draw = a.weight * rate * ramp * share * if regressed && trial { TRICKLE } else { 1.0 };
             let tried = c.deliveries.iter().any(|d| d.appliance == i);
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
@@ -672,11 +654,9 @@
         let (mut one, mut two) = (draw()?, draw()?);
         // A key's home is the same for all agents, by rendezvous hashing; it may be the busier one by a bit.
         let key = c.key.filter(|_| self.at.warm_keys && !again);
-        let step = |kind| (self.rate(kind).log2() * 2.0).round();
-        let steps: Vec<f64> = (0..self.kinds.len()).map(|k| (step(k) / 2.0).exp2()).collect();
         let far = |k: u64, f: &(usize, f64, f64)| {
             let a = &self.fleet[f.0];
-            rendezvous(k, a.mark, steps[a.kind])
+            rendezvous(k, a.mark, self.kinds[a.kind].step)
         };
         let home = key.and_then(|k| fit.iter().min_by(|a, b| far(k, a).total_cmp(&far(k, b))));
         one = home.unwrap_or(one);
@@ -689,13 +669,6 @@
         Some(if cost(two) < cost(one) { [two.0, one.0] } else { [one.0, two.0] })
     }
 
-    /// What one appliance of this kind gets done against the mean of all.
-    fn rate(&self, kind: usize) -> f64 {
-        let rates = || self.kinds.iter().filter_map(Kind::rate);
-        let mean = rates().sum::<f64>() / rates().count().max(1) as f64;
-        self.kinds[kind].rate().map_or(1.0, |r| r / mean)
-    }
-
     /// Commands in flight there: this agent's own, or what the appliance said, which comes near the mean of its
     /// kind as it ages. Guards small agents, whose own say nothing.
     fn busy(&self, now: Duration, a: &Appliance) -> f64 {
@@ -774,8 +747,6 @@
         let round = Duration::from_secs_f64(round).clamp(ASIDE_FIRST, ASIDE_MOST * 2);
         let way = self.crossings.zones.get(self.fleet[i].zone).map_or(0.0, |t| t.added.as_secs_f64());
         let judged = self.judged(now);
-        let paces = || self.kinds.iter().filter_map(Kind::pace_of);
-        let mean = paces().sum::<f64>().max(0.05) / paces().count().max(1) as f64;
         let (a, l) = (&mut self.fleet[i], &mut self.lanes[lane]);
         let took = end.took.as_secs_f64();
         a.in_flight = a.in_flight.saturating_sub(1);
@@ -842,7 +813,7 @@
                 // Guards a build that only other zones hold: the way there is not its work.
                 let bare = (took - way).max(0.0);
                 // Guards agents that some troubles leave the slower kind of machines only.
-                let alike = bare * mean / Kind::pace_of(&self.kinds[a.kind]).unwrap_or(mean);
+                let alike = bare / self.kinds[a.kind].slower;
                 (if judged { &mut l.late } else { &mut l.calm }).add(alike);
                 let step = if bare > l.half { 1.03 } else { 0.97 };
                 l.half *= if quiet { step } else { 1.0 };
@@ -894,13 +865,15 @@
         let all = median(&|_| true).unwrap_or(1.0);
         let side = |kind, newest| median(&|a| a.kind == kind && (a.build >= trial) == newest).unwrap_or(all);
         let fellows: Vec<_> = (0..self.kinds.len()).map(|k| [side(k, false), side(k, true)]).collect();
-        let rates: Vec<f64> = (0..self.kinds.len()).map(|k| self.rate(k) * self.at.cold_part).collect();
+        Kind::weigh(&mut self.kinds);
         for a in &mut self.fleet {
             a.cold_since = a.cold_since.filter(|t| now < *t + self.at.cold_for);
             // Cold: its part of what a warm one answers here, in whole deliveries that begin by chance, so that the
             // sum over all agents keeps to that part, too, however many and unequal they are. Guards against a
             // first one of each. Where nearly all are cold, what they answered while warm; commands are denied.
-            let each = self.at.ramp(now, a) * self.carried.now * self.crossings.cold * rates[a.kind];
+            let each =
+                self.at.ramp(now, a) * self.carried.now * self.crossings.cold * self.kinds[a.kind].rate;
+            let each = each * self.at.cold_part;
             a.quota = (a.quota.max(-1.0) + each).min(1.0 + each * window);
             let median = fellows[a.kind][usize::from(a.build >= trial)];
             // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
--- a/src/state.rs
+++ b/src/state.rs
@@ -188,21 +188,64 @@
 }
 
 /// Machines of one kind: their answer times against the usual, and what they say they hold.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy)]
 pub(crate) struct Kind {
     pub pace: Mean,
     pub held: Mean,
+    pub rate: f64,   // what one of them gets done against the mean of all kinds, by Little's law,
+    pub step: f64,   // the same in steps of half an octave, so that agents find the same,
+    pub slower: f64, // and its answer times
+}
+
+impl Default for Kind {
+    fn default() -> Kind {
+        Kind { pace: Mean::default(), held: Mean::default(), rate: 1.0, step: 1.0, slower: 1.0 }
+    }
 }
 
 impl Kind {
-    pub fn pace_of(&self) -> Option<f64> {
-        Some(self.pace.now).filter(|_| self.pace.seen > 9.0)
+    /// Sets all kinds against their mean, once enough is known of them.
+    pub fn weigh(kinds: &mut [Kind]) {
+        let known = |k: &Kind, n: f64| (n > 9.0).then_some(k.pace.now.max(0.05));
+        let rate = |k: &Kind| known(k, k.pace.seen.min(k.held.seen)).map(|pace| (k.held.now + 1.0) / pace);
+        let pace = |k: &Kind| known(k, k.pace.seen);
+        let mean = |of: &dyn Fn(&Kind) -> Option<f64>| {
+            let all: Vec<f64> = kinds.iter().filter_map(of).collect();
+            all.iter().sum::<f64>() / all.len().max(1) as f64
+        };
+        let (rates, paces) = (mean(&rate), mean(&pace));
+        for k in kinds {
+            k.rate = rate(k).map_or(1.0, |r| r / rates);
+            k.step = ((k.rate.log2() * 2.0).round() / 2.0).exp2();
+            k.slower = pace(k).map_or(1.0, |p| p / paces);
+        }
     }
-    /// What one of them gets done, by Little's law; None while unknown.
-    pub fn rate(&self) -> Option<f64> {
-        let known = self.pace.seen.min(self.held.seen) > 9.0;
-        known.then(|| (self.held.now + 1.0) / self.pace.now.max(0.05))
+}
+
+/// What each of so many zones holds now.
+pub(crate) fn rooms(
+    fleet: &[Appliance],
+    at: &Bounds,
+    now: Duration,
+    patience: Duration,
+    zones: usize,
+) -> Vec<Room> {
+    let mut rooms = vec![Room::default(); zones];
+    for a in fleet {
+        let Some(room) = rooms.get_mut(a.zone).filter(|_| a.standing != Standing::Gone) else { continue };
+        room.in_flight += a.in_flight;
+        if a.standing == Standing::Draining {
+            room.draining += 1;
+            continue;
+        }
+        room.running += 1;
+        if a.aside.is_none() && !a.silent(now, patience) {
+            room.awake += 1;
+            room.warm += usize::from(a.cold_since.is_none());
+            room.open += a.weight * at.ramp(now, a);
+        }
     }
+    rooms
 }
 
 #[derive(Default)]
