--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -17,7 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tulipwall::{Crossings, News, Vote};
+use tulipwall::{Crossings, News, Shape, Vote};
 use tulipwall_deployment::{Door, Site};
 use tulipwall_zones::Names;
 
@@ -39,6 +39,7 @@
     pub watch: Event,
     pub vote: RefCell<Option<(Vote, Duration)>>, // cast, and not yet written
     pub voted: Event,
+    watched: RefCell<Option<Shape>>,
     moves: Cell<u64>, // how often the parties' addresses were read anew
     moved: Event,
     first_list: Event,
@@ -68,6 +69,7 @@
             watch: Event::new(),
             vote: RefCell::default(),
             voted: Event::new(),
+            watched: RefCell::new(start.watch.clone()),
             moves: Cell::default(),
             moved: Event::new(),
             first_list: Event::new(),
@@ -75,6 +77,7 @@
             pools: RefCell::new(Pools::new(start.site.idle_most)),
             site: start.site,
         });
+        agent.hand.watch(&agent.site.deployment, start.watch.as_ref());
         if let Some(told) = start.news {
             agent.news(told);
         }
@@ -98,6 +101,10 @@
         if !start.site.same(&self.site) {
             log::warn!("field settings: those read at the start stay until a restart");
         }
+        if start.watch != *self.watched.borrow() {
+            self.hand.watch(&self.site.deployment, start.watch.as_ref());
+            *self.watched.borrow_mut() = start.watch;
+        }
         if let Err(what) = self.border.renew(self.clock.now(), start.zoning) {
             log::warn!("installation: {what}");
         }
@@ -203,7 +210,8 @@
         let [commands, appliances, builds, keys] = self.hand.kept();
         let (listed, clients) = (self.list.borrow().len(), self.sockets.clients());
         let module = format!("commands {commands} appliances {appliances} builds {builds} keys {keys}");
-        format!("kept: clients {clients} listed {listed} {module}")
+        let otherwise = self.hand.otherwise().map_or(String::new(), |o| format!("; watched: {o}"));
+        format!("kept: clients {clients} listed {listed} {module}{otherwise}")
     }
 
     pub fn target(&self, appliance: usize) -> Option<Target> {
--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -56,8 +56,8 @@
     let customer = statement.customer.as_deref().and_then(|c| agent.site.customer(c));
     let expires = heard + statement.wait;
     let left = expires.saturating_sub(agent.clock.now());
-    let command =
-        Command { lane, customer, key: Some(number(&statement.object)), left, work: None, again: false };
+    let Statement { work, again, .. } = statement;
+    let command = Command { lane, customer, key: Some(number(&statement.object)), left, work, again };
     let statement = Rc::new(statement);
     let mut out: Vec<Option<Out>> = Vec::new();
     let (mut look, mut ran): (Option<Duration>, bool) = (None, false);
--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -70,6 +70,9 @@
     agent.counters.sent.add();
     let mut hearing = Hearing::default();
     let ended = hear(agent, &mut held.connection, &mut hearing).await;
+    if let Some(load) = hearing.held.filter(|_| agent.target(order.target.appliance) == Some(order.target)) {
+        agent.hand.told(order.target.appliance, load);
+    }
     // A spoilt answer says nothing, not even that the command never ran.
     let outcome = match (&ended, hearing.verdict) {
         (Err(Heard::Garbage(_) | Heard::Half), _) | (_, None) => Outcome::Broken,
--- a/crates/agent/src/lifecycle/start.rs
+++ b/crates/agent/src/lifecycle/start.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use tulipwall::Shape;
 use tulipwall_deployment::{Door, Installation, Instance, LogForm, Mistake, Site};
 use tulipwall_zones::Zoning;
 
@@ -30,6 +31,7 @@
     pub log: Option<LogForm>,
     pub door: Option<Door>,
     pub zoning: Option<Zoning>,
+    pub watch: Option<Shape>,
 }
 
 impl Start {
@@ -45,7 +47,8 @@
         let installation = read_installation(path)?;
         let named = |mistakes| named(path, mistakes);
         let zoning = installation.zoning(&start.site).map_err(named)?;
-        Ok(Start { log: installation.log, door: installation.door, zoning, ..start })
+        let watch = installation.watch(&start.site).map_err(named)?;
+        Ok(Start { log: installation.log, door: installation.door, zoning, watch, ..start })
     }
 
     pub fn parse(bytes: &[u8]) -> Result<Start, String> {
@@ -55,8 +58,22 @@
         let news = i.news.as_ref().map(platform::told).transpose();
         let news = news.map_err(|e| format!("deployer.news: {e}"))?;
         let Instance { name, listen, discovery, platform, sockets, memory, site, .. } = i;
-        let (log, door, zoning) = (None, None, None);
-        Ok(Start { name, listen, discovery, platform, sockets, memory, known, news, site, log, door, zoning })
+        let (log, door, zoning, watch) = (None, None, None, None);
+        Ok(Start {
+            name,
+            listen,
+            discovery,
+            platform,
+            sockets,
+            memory,
+            known,
+            news,
+            site,
+            log,
+            door,
+            zoning,
+            watch,
+        })
     }
 }
 
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -3,7 +3,7 @@
 use super::clock::Clock;
 use super::counters::Counters;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::*;
@@ -16,6 +16,8 @@
     open: RefCell<HashSet<String>>, // the ids of commands in hand
     news: RefCell<Option<News>>,
     turns: Cell<u64>, // how often the news changed
+    watch: RefCell<Option<Watch>>,
+    keys: RefCell<HashMap<u64, (usize, Option<u64>)>>, // lane and key of commands in hand, while something is watched
 }
 
 /// A command is open under its id for as long as this lives.
@@ -42,6 +44,8 @@
             open: RefCell::default(),
             news: RefCell::default(),
             turns: Cell::default(),
+            watch: RefCell::default(),
+            keys: RefCell::default(),
         }
     }
 
@@ -50,14 +54,51 @@
         let id = self.taken.get();
         self.taken.set(id + 1);
         self.counters.taken.add();
-        let now = self.clock.now();
-        let mut choice = self.choice.borrow_mut();
-        choice.take(now, id, command);
-        (id, choice.place(now, id))
+        let (now, lane, key) = (self.clock.now(), command.lane, command.key);
+        self.choice.borrow_mut().take(now, id, command);
+        if let Some(watch) = self.watch.borrow_mut().as_mut() {
+            watch.take(&self.choice.borrow(), lane);
+            self.keys.borrow_mut().insert(id, (lane, key));
+        }
+        let answer = self.choice.borrow_mut().place(now, id);
+        (id, self.watched(now, id, answer))
     }
 
     pub fn place(&self, id: u64) -> Answer {
-        self.choice.borrow_mut().place(self.clock.now(), id)
+        let now = self.clock.now();
+        let answer = self.choice.borrow_mut().place(now, id);
+        self.watched(now, id, answer)
+    }
+
+    /// Counts where the watched settings would have decided otherwise; the answer stands as it is.
+    fn watched(&self, now: Duration, id: u64, answer: Answer) -> Answer {
+        if let Some(watch) = self.watch.borrow_mut().as_mut() {
+            let known = self.keys.borrow().get(&id).copied();
+            match (&answer, known) {
+                (Answer::Send { appliance, .. }, Some((lane, key))) => {
+                    watch.sent(now, &self.choice.borrow(), lane, key, *appliance);
+                }
+                (Answer::Deny { .. } | Answer::Scrap, _) => drop(self.keys.borrow_mut().remove(&id)),
+                _ => {}
+            }
+        }
+        answer
+    }
+
+    /// From now on this shape is watched, or none.
+    pub fn watch(&self, present: &Deployment, shape: Option<&Shape>) {
+        *self.watch.borrow_mut() = shape.map(|s| Watch::new(present, s));
+        self.keys.borrow_mut().clear();
+    }
+
+    /// Where the watched settings would have decided otherwise so far; nothing while none are watched.
+    pub fn otherwise(&self) -> Option<Otherwise> {
+        self.watch.borrow().as_ref().map(|w| w.counts)
+    }
+
+    /// An appliance said how many commands it holds.
+    pub fn told(&self, appliance: usize, held: f64) {
+        self.choice.borrow_mut().told(self.clock.now(), appliance, Outcome::Satisfied, Some(held));
     }
 
     /// A delivery that was decided at `sent` has ended.
@@ -65,12 +106,18 @@
         self.counters.end(outcome);
         let now = self.clock.now();
         let end = End { outcome, took: now.saturating_sub(sent), closed, held: None };
-        self.choice.borrow_mut().after(now, id, delivery, end)
+        let answer = self.choice.borrow_mut().after(now, id, delivery, end);
+        let answer = self.watched(now, id, answer);
+        if closed {
+            self.keys.borrow_mut().remove(&id);
+        }
+        answer
     }
 
     /// The client went away.
     pub fn left(&self, id: u64) {
         self.choice.borrow_mut().left(id);
+        self.keys.borrow_mut().remove(&id);
     }
 
     pub fn list(&self, entries: &[Listed], complete: bool) {
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -8,6 +8,8 @@
 use tulipwall::{Listed, Standing};
 use tulipwall_deployment::{number, Site};
 
+const KINDS_MOST: usize = 16;
+
 struct Kept {
     id: String,
     address: SocketAddr,
@@ -23,6 +25,7 @@
 pub struct List {
     numbers: HashMap<String, usize>,
     kept: Vec<Kept>,
+    kinds: Vec<String>,
     pub version: u64,
 }
 
@@ -57,7 +60,7 @@
                 zone,
                 cell: e.cell,
                 mark: number(&e.id),
-                kind: 0,
+                kind: self.kind(&e.kind),
                 build: e.build,
                 standing: e.standing,
                 started: e.started_ms.and_then(|ms| clock.of_wall(ms)),
@@ -73,6 +76,17 @@
         (listed, stale)
     }
 
+    /// The number of this kind of machine; beyond so many, kinds are not told apart.
+    fn kind(&mut self, name: &str) -> usize {
+        let known = self.kinds.iter().position(|k| k == name);
+        known.unwrap_or_else(|| {
+            if self.kinds.len() < KINDS_MOST {
+                self.kinds.push(name.to_owned());
+            }
+            self.kinds.len() - 1
+        })
+    }
+
     /// The number that it has or gets now; none for what went without being known.
     fn number_for(&mut self, e: &Entry, zone: usize) -> Option<usize> {
         if let Some(known) = self.numbers.get(&e.id) {
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -16,6 +16,7 @@
 use tulipwall_deployment::LogForm;
 
 /// How soon to look again for a free descriptor.
+const WATCH_EVERY: Duration = Duration::from_secs(60);
 const ROOM_AGAIN: Duration = Duration::from_millis(20);
 
 /// Runs one agent until it is told to leave; whether it ended as it should. `form` is that of its log, where the
@@ -132,7 +133,7 @@
 
 /// Asks the module what is due, when it says so.
 async fn watch(agent: &Agent) {
-    let mut swept = Duration::ZERO;
+    let (mut swept, mut said) = (Duration::ZERO, agent.clock.now());
     loop {
         // What came in while this agent stood still is told first, in its order.
         future::yield_now().await;
@@ -152,6 +153,12 @@
             agent.sweep();
             swept = now;
         }
+        if now >= said + WATCH_EVERY {
+            if let Some(otherwise) = agent.hand.otherwise() {
+                log::info!("watched settings would have decided otherwise: {otherwise}");
+            }
+            said = now;
+        }
         agent.until(due.until).await;
     }
 }
--- a/crates/agent/src/wire/listing.rs
+++ b/crates/agent/src/wire/listing.rs
@@ -19,6 +19,8 @@
     pub address: SocketAddr,
     pub zone: String,
     pub cell: u64,
+    /// Its kind of machine, where that is told.
+    pub kind: String,
     pub build: u32,
     pub standing: Standing,
     /// The last start, in Unix time milliseconds; `None` means long ago.
@@ -48,6 +50,7 @@
                 address: address.parse().map_err(|_| format!("field addr: '{address}' is no address"))?,
                 zone: e.text("zone")?.to_owned(),
                 cell: e.whole("cell")?,
+                kind: e.maybe("kind").and_then(Value::as_str).unwrap_or_default().to_owned(),
                 build: u32::try_from(e.whole("release")?).map_err(|_| "field release: too large")?,
                 standing: match e.text("state")? {
                     "in_service" => Standing::Running,
--- a/crates/agent/src/wire/postgres.rs
+++ b/crates/agent/src/wire/postgres.rs
@@ -203,6 +203,8 @@
     /// The messages of the value, as the appliance made them.
     pub value: Vec<u8>,
     pub verdict: Option<Verdict>,
+    /// Commands that the appliance said it held.
+    pub held: Option<f64>,
     rows: usize,
     described: bool,
 }
@@ -214,11 +216,15 @@
     }
 
     /// Takes the next message with its whole bytes; true once the connection is ready for the next query.
-    /// Notices and load reports are passed over, whatever they hold.
+    /// Notices are passed over, whatever they hold, and so is what can't be read of a load report.
     pub fn hear(&mut self, tag: u8, body: &[u8], whole: &[u8]) -> Result<bool, Malformed> {
         let open = self.verdict.is_none();
         match tag {
-            b'N' | b'S' | b'K' => return Ok(false),
+            b'S' => {
+                self.held = held(body).or(self.held);
+                return Ok(false);
+            }
+            b'N' | b'K' => return Ok(false),
             b'R' if body.get(..4) == Some(&[0; 4]) => return Ok(false),
             // Ready within a row: the value is not whole.
             b'Z' if matches!(body, b"I" | b"T" | b"E") && !(open && self.described) => return Ok(true),
@@ -239,6 +245,13 @@
     }
 }
 
+/// The commands in flight that a load report names: `pressure`, then `inflight=7,util=0.61`.
+fn held(status: &[u8]) -> Option<f64> {
+    let fields = std::str::from_utf8(status.strip_prefix(b"pressure\0")?.strip_suffix(b"\0")?).ok()?;
+    let value = fields.split(',').find_map(|f| f.trim().strip_prefix("inflight="))?;
+    value.parse::<f64>().ok().filter(|n| (0.0..1e6).contains(n))
+}
+
 /// A description of one column: its name, then 18 bytes of numbers.
 fn one_column(body: &[u8]) -> bool {
     let name = body.get(2..).and_then(|rest| rest.iter().position(|b| *b == 0));
--- a/crates/agent/src/wire/statement.rs
+++ b/crates/agent/src/wire/statement.rs
@@ -15,6 +15,10 @@
     /// What it is about: commands on the same object share it.
     pub object: String,
     pub wait: Duration,
+    /// A rough hint of what it costs; one that makes no sense is disregarded.
+    pub work: Option<Duration>,
+    /// Its client marks it as a retry.
+    pub again: bool,
     text: String,
     wait_at: Range<usize>,
     _weight: Weight,
@@ -35,6 +39,7 @@
             _ => return malformed("statement: neither the known SELECT nor the known INSERT"),
         };
         let (mut id, mut lane, mut customer, mut wait, mut keyed) = (None, None, None, None, false);
+        let (mut work, mut again) = (None, false);
         let mut at = start + 2;
         for pair in comment.split(',') {
             let Some((name, value)) = pair.split_once('=') else {
@@ -47,6 +52,8 @@
                 "c" => lane = Some(value.trim()),
                 "t" => customer = Some(value.trim()),
                 "k" => keyed = !value.trim().is_empty(),
+                "h" => work = value.trim().parse::<u32>().ok().map(|us| Duration::from_micros(us.into())),
+                "r" => again = value.trim() == "1",
                 "d" => wait = Some((value.trim(), value_at..value_at + value.len())),
                 _ => {}
             }
@@ -67,6 +74,8 @@
             customer,
             object: object.to_owned(),
             wait,
+            work,
+            again,
             text: text.to_owned(),
             wait_at,
             _weight,
--- a/crates/deployment/src/installation.rs
+++ b/crates/deployment/src/installation.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
+use tulipwall::Shape;
 use tulipwall_zones::{Budget, LaneView, Limit, Link, Price, Routing, Zoning};
 
 /// The name by which the file speaks of a zone that the settings do not know.
@@ -15,6 +16,7 @@
 const WINDOW_LEAST: Duration = Duration::from_secs(1);
 const WINDOW: Duration = Duration::from_secs(3600);
 const MONEY_MOST: f64 = 1e12;
+const STAGES_MOST: f64 = 100.0;
 const COUNT_MOST: f64 = 1e15;
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -23,6 +25,7 @@
     /// Where operators may ask for reports; nowhere if not given.
     pub door: Option<Door>,
     zones: Option<Traffic>,
+    watch: Option<(Place, Shape)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,7 +87,7 @@
         let mut reader = Reader::new(text);
         let mut installation = Installation::default();
         let document = reader.document();
-        for node in reader.nodes(document.as_ref(), "the file", &["log", "door", "zones"], &[]) {
+        for node in reader.nodes(document.as_ref(), "the file", &["log", "door", "zones", "watch"], &[]) {
             match node.name().value() {
                 "log" => {
                     let forms = [LogForm::Text, LogForm::Json];
@@ -98,6 +101,7 @@
                         None => {}
                     }
                 }
+                "watch" => installation.watch = Some((reader.of(node), shape(&mut reader, node))),
                 _ => installation.zones = Some(traffic(&mut reader, node)),
             }
         }
@@ -108,6 +112,17 @@
         Err(reader.mistakes)
     }
 
+    /// The settings that are watched beside those that decide; none unless the file says so.
+    pub fn watch(&self, site: &Site) -> Result<Option<Shape>, Vec<Mistake>> {
+        let Some((at, shape)) = &self.watch else { return Ok(None) };
+        let stages = shape.caps.as_ref().map_or(site.deployment.rollout.caps.len(), Vec::len);
+        if shape.guarded_stages.is_some_and(|n| n > stages) {
+            let (key, what) = ("guarded-stages".to_owned(), format!("there are {stages} stages"));
+            return Err(vec![Mistake { line: at.line, column: at.column, key, what }]);
+        }
+        Ok(Some(shape.clone()))
+    }
+
     /// Whether anything is said of zones.
     pub fn has_zones(&self) -> bool {
         self.zones.is_some()
@@ -214,6 +229,23 @@
     traffic
 }
 
+fn shape(r: &mut Reader, node: &KdlNode) -> Shape {
+    r.arguments(node, 0, &[]);
+    let mut shape = Shape::default();
+    let known = ["guarded-stages", "caps", "free", "by-lane", "cold-for", "warm-keys"];
+    for node in r.nodes(node.children(), "watch", &known, &[]) {
+        match node.name().value() {
+            "guarded-stages" => shape.guarded_stages = r.number(node, 0.0, STAGES_MOST).map(|n| n as usize),
+            "caps" => shape.caps = Some(r.numbers(node, 0.0, 1.0)),
+            "free" => shape.free = r.number(node, 0.0, COUNT_MOST),
+            "by-lane" => shape.by_lane = r.flag(node),
+            "cold-for" => shape.cold_for = r.span(node, Duration::ZERO),
+            _ => shape.warm_keys = r.flag(node),
+        }
+    }
+    shape
+}
+
 fn link(r: &mut Reader, node: &KdlNode) -> Option<StatedLink> {
     let at = r.of(node);
     let ends: Vec<String> =
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -79,12 +79,12 @@
     rng: Option<Pcg64Mcg>,
     lanes: Vec<LaneView>,
     commands: BTreeMap<u64, Open>,
-    fleet: Vec<Appliance>,
-    kinds: Vec<Kind>,
+    pub(crate) fleet: Vec<Appliance>,
+    pub(crate) kinds: Vec<Kind>,
     asks: Vec<usize>, // for their load
-    builds: BTreeMap<u32, Build>,
+    pub(crate) builds: BTreeMap<u32, Build>,
     bound: BTreeMap<u64, u32>, // keys that a build on trial has answered
-    news: Option<News>,
+    pub(crate) news: Option<News>,
     beside: Beside,
     intake: Intake,
     drag: Drag,
@@ -399,7 +399,7 @@
         self.builds.entry(number).or_insert_with(|| Build::new(lanes, slots, self.at.free))
     }
 
-    fn on_trial(&self, build: u32) -> bool {
+    pub(crate) fn on_trial(&self, build: u32) -> bool {
         match &self.news {
             Some(n) => build > n.build || build == n.build && n.phase != Phase::Released,
             None => self.running().any(|(_, a)| a.build < build),
@@ -572,7 +572,7 @@
         Some(vote)
     }
 
-    fn running(&self) -> impl Iterator<Item = (usize, &Appliance)> {
+    pub(crate) fn running(&self) -> impl Iterator<Item = (usize, &Appliance)> {
         self.fleet.iter().enumerate().filter(|(_, a)| a.standing == Standing::Running)
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! Ask a [`Choice`] where to send a command, what to do after an outcome, and how long to wait;
 //! tell it the facts that reach this agent. All decisions are in `choice`; `types` and `state` are plain
-//! data.
+//! data; `watch` counts where other settings would decide otherwise.
 
 mod choice;
 mod state;
 mod types;
+mod watch;
 
 pub use choice::Choice;
 pub use types::*;
+pub use watch::{Otherwise, Shape, Watch};
