--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,9 +1,5 @@
-//! The decisions of one agent. Its interface is `types.rs`, re-exported by `lib.rs`.
-//!
-//! Asked by three calls: [`Choice::place`] (where to send this command, or not yet, or never),
-//! [`Choice::after`] (what to do after this outcome) and [`Choice::wait`] (how long to wait, with the
-//! vote, the list call and the report lines now due). Told facts by `take`, `left`, `list`,
-//! `list_failed`, `news`, `reply` and `flag`. Each agent has a `Choice` of its own.
+//! The decisions of one agent, asked by [`Choice::place`] (where to send this command, or not yet, or never),
+//! [`Choice::after`] (what to do after this outcome) and [`Choice::wait`] (how long to wait, and what is due).
 
 use crate::state::*;
 use crate::types::*;
@@ -48,7 +44,6 @@
 const WARM: f64 = 0.7; // what the home of a key weighs, as it does less work for it
 const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
 const FRESH: Duration = ms(150); // a load report that is not asked for again
-const MUTE: f64 = 4.0; // what an appliance that does not tell its load seems to hold, times the mean
 const KIND_GAIN: f64 = 0.02;
 const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
 
@@ -58,8 +53,6 @@
 const FORGIVE: f64 = 0.01; // each survey, of what sets an appliance off from its fellows
 const SICK_SHARE: f64 = 0.3;
 const SICK_FOR: Duration = ms(8000);
-const LOSSY_SHARE: f64 = 0.35; // while the earlier build loses some, too
-const LOSSY_FOR: Duration = ms(20_000);
 
 const TARGET: f64 = 0.4; // of the quoted time: a mean answer that keeps nearly all within it
 const EASY: f64 = 0.2; // of the quoted time: answers this quick need no bound
@@ -90,9 +83,8 @@
     drag: Drag,
     customer_load: Vec<f64>,
     crossings: Crossings,
-    carried: Mean,         // answers of a warm appliance in a survey
-    sick_until: Duration,  // single machines of the earlier build fail, too
-    lossy_until: Duration, // its answers are lost, too
+    carried: Mean,        // answers of a warm appliance in a survey
+    sick_until: Duration, // single machines of the earlier build fail, too
     load: Load,
     votes: Votes,
     survey_at: Duration,
@@ -163,16 +155,15 @@
             }
             let cold = e.started.filter(|s| *s + self.at.cold_for > now);
             let quota = chance(&mut self.rng);
-            self.fleet[e.appliance] =
-                Appliance { quota, ..Appliance::listed(e, self.lanes.len(), in_flight, cold) };
+            self.fleet[e.appliance] = Appliance::listed(e, self.lanes.len(), in_flight, cold, quota);
             let b = self.build(e.build);
             b.newest = b.newest.max(e.started.unwrap_or_default());
         }
         self.set_caps();
     }
 
-    /// A list call failed, or the watch broke: ask again, less and less often. Guards against a discovery
-    /// that all agents' calls keep overbooked, as refused ones cost it, too. May delay a list that is back.
+    /// A list call failed, or the watch broke: ask again, less and less often. Guards against a discovery that all
+    /// agents' calls keep overbooked. May delay a list that is back.
     pub fn list_failed(&mut self, now: Duration) {
         if let Some(most) = self.at.ask_within.map(|t| if self.at.list_shared { t } else { t / 5 }) {
             let gap = self.watch_gap.max(GAP).max(self.at.call_share() / 4);
@@ -217,8 +208,7 @@
         self.votes.at = now + self.votes.gap.max(Duration::from_secs_f64(self.at.vote_share.min(2.0)));
     }
 
-    /// What crossing means from now on. It weighs where commands go; the rules come before it, and so does
-    /// the evidence on a build on trial, which its cap bounds.
+    /// What crossing means from now on. It weighs where commands go, after the rules and the evidence on a trial.
     pub fn crossings(&mut self, told: Crossings) {
         self.crossings = told;
         let own = self.crossings.zones.get_mut(self.at.zone);
@@ -238,17 +228,12 @@
         }
     }
 
-    /// An appliance answered what it holds, or that it would not say.
-    pub fn told(&mut self, now: Duration, appliance: usize, outcome: Outcome, held: Option<f64>) {
-        let Some(a) = self.fleet.get_mut(appliance) else { return };
+    /// An appliance answered, and told or did not tell what it holds.
+    pub fn told(&mut self, now: Duration, i: usize, outcome: Outcome, held: Option<f64>) {
+        let Some(a) = self.fleet.get_mut(i) else { return };
         a.asked = a.asked.filter(|_| outcome == Outcome::TimedOut);
-        self.report(now, appliance, held);
-    }
-
-    fn report(&mut self, now: Duration, i: usize, held: Option<f64>) {
         let Some(held) = held.filter(|h| (0.0..1e6).contains(h)) else { return };
-        let a = &mut self.fleet[i];
-        (a.held, a.since, a.asked) = (Some((held, now)), 0.0, None);
+        (a.held, a.since) = (Some((held, now)), 0.0);
         if a.cold_since.is_none() && a.standing == Standing::Running {
             self.kinds[a.kind].held.follow(held, KIND_GAIN);
         }
@@ -260,24 +245,21 @@
         build.and_then(|b| b.tallied.get_mut(t.lane)).into_iter().for_each(|s| s.add(t));
     }
 
-    /// Whether the platform's counts show, in any lane, that the trial fails far more than the earlier build, or in
-    /// all of them that it takes far longer; beyond chance. All agents know the same and agree at once.
+    /// What the platform's counts show beyond chance: that the trial fails far more than the earlier build, in any
+    /// lane or all, or takes far longer; and whether it takes as long. All agents know the same and agree at once.
     fn tallied(&self, build: u32, earlier: u32) -> (Option<&'static str>, bool) {
         let of = |build| self.builds.get(&build).map_or(&[][..], |b| &b.tallied);
         let (t, e) = (of(build), of(earlier));
-        let (all, base) = (Tallied::sum(t), Tallied::sum(e));
-        let worse = |(t, e): (&Tallied, &Tallied)| {
-            let base = 2.0 * e.failed / e.all.max(1.0) + TALLY_SHARE;
-            e.all >= LEAST_OUTCOMES
-                && t.failed > base * t.all
-                && apart((t.failed, t.all), (e.failed, e.all)) > TALLY_APART
+        let fails = |(t, e): (&Tallied, &Tallied)| {
+            let most = (2.0 * e.failed / e.all.max(1.0) + TALLY_SHARE) * t.all;
+            let far = apart((t.failed, t.all), (e.failed, e.all)) > TALLY_APART;
+            far && e.all >= LEAST_OUTCOMES && t.failed > most
         };
+        let failing = t.iter().zip(e).chain([(&Tallied::sum(t), &Tallied::sum(e))]).any(fails);
         let (answers, ratio) = Tallied::pace(t, e);
         let slow = ratio > TALLY_SLOW && strange(answers, ratio / PACE_EXCUSED) > TALLY_APART;
-        let why =
-            if t.iter().zip(e).chain([(&all, &base)]).any(worse) { Some("counted as failing") } else { None };
         let even = self.at.tallied && (answers < LEAST_OUTCOMES || ratio < PACE_EXCUSED);
-        (why.or(slow.then_some("counted as slow")), even)
+        (failing.then_some("counted as failing").or(slow.then_some("counted as slow")), even)
     }
 
     /// Where to send this command now.
@@ -350,7 +332,7 @@
             _ => {}
         }
         let weight = if first.is_some() { 0.0 } else { self.load.blame };
-        self.report(now, appliance, end.held);
+        self.told(now, appliance, end.outcome, end.held);
         self.learn(now, appliance, build, lane, &end, weight);
         let by = build.max(self.fleet[appliance].build);
         let binds = self.at.one_way && self.news.as_ref().is_none_or(|n| by >= n.build);
@@ -414,8 +396,7 @@
         (fresh || self.on_trial(n.build)) && self.running().any(|(_, a)| a.build == n.build)
     }
 
-    /// Tokens: each command taken adds the cap, each delivery takes one, never more than `free` are kept.
-    /// This bounds every window, also one that begins after the arrivals that paid for a delivery.
+    /// Tokens: each command taken adds the cap, each delivery takes one, `free` at most are kept in any window.
     fn set_caps(&mut self) {
         for (number, b) in &mut self.builds {
             b.cap = self.news.as_ref().filter(|n| n.build == *number).map_or(self.at.first_cap, |n| n.cap);
@@ -449,7 +430,7 @@
         // Each lane, and all together: a build that fails every lane shows sooner in the sum.
         let lanes = trial.iter().zip(&before).zip(&self.beside.counts).chain([((&pool, &base), &beside)]);
         for (lane, ((t, b), s)) in lanes.enumerate().filter(|_| pool.all() >= LEAST_OUTCOMES) {
-            if let Some(what) = regressed([t, b, s], worth, certain * ease, ease, now < self.lossy_until) {
+            if let Some(what) = regressed([t, b, s], worth, certain * ease, ease) {
                 strength = strength.max(t.failed + t.flagged + t.lost);
                 why = Some(format!("lane {lane} {what}, trial {t:.0?}, earlier {b:.0?}, beside {s:.0?}"));
             }
@@ -470,9 +451,8 @@
         let agreed = self.at.jury && open && (d.slow && !even || wrong) || tallied.is_some();
         if agreed || n.phase == Phase::Trial && d.alarm && !even {
             strength = if d.alarm { LEAST_FAILURES / 2.0 } else { strength };
-            let slows = if d.alarm { "quick answers are gone" } else { "the fleet slows with it" };
-            let other = if wrong { "wrong answers" } else { slows };
-            why = Some(tallied.unwrap_or(other).into());
+            let slows = if wrong { "wrong answers" } else { "the fleet slows with it" };
+            why = Some(tallied.unwrap_or(slows).into());
         }
         let seen = why.is_some();
         if seen != was {
@@ -502,16 +482,14 @@
     fn drags(&mut self, now: Duration, n: &News) {
         let started = n.phase == Phase::Trial && self.running().any(|(_, a)| a.build == n.build);
         let newest = self.builds.get(&n.build).map_or(now, |b| b.newest);
-        // Guards where no agent sees enough to hold: all answers of late against those while none was judged, by
-        // their mean, and as some slow machines leave the quick half alone by that, too. So many agents as must
-        // agree would hardly err together by chance; but a load that grew might deceive them all, so that a bad
-        // build may pass in a rush.
+        // Guards where no agent sees enough to hold: all answers of late against the calm ones, by their mean and,
+        // as some slow machines leave it alone, by the quick half. May pass over a bad build in a rush.
         let (quick, ratio, answers) = LaneView::slowed(&self.lanes);
         let beyond = if answers < LEAST_OUTCOMES { 0.0 } else { strange(answers, ratio / PACE_EXCUSED) };
         let sure = quick < QUICK_SHARE && beyond > AGREED + self.at.voice;
         // In place, what is still cold is missed: its load slows all.
-        let able = self.running().map(|(_, a)| self.at.ramp(now, a)).sum::<f64>();
-        let short = self.at.in_place && able < ABLE * self.running().count() as f64;
+        let able = self.running().map(|(_, a)| self.at.ramp(now, a) - ABLE).sum::<f64>();
+        let short = self.at.in_place && able < 0.0;
         let d = &mut self.drag;
         d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN && !short;
         d.fade(PACE_FADE);
@@ -519,10 +497,9 @@
         // where its places are taken if that lasts. Some slow machines or a slow way leave the quick answers.
         // If nearly all of the trial's own are gone, it needs more work than the earlier build.
         let ((share, gone), (own, apart)) = (d.quick_share(0), d.quick_share(1));
-        let slow =
-            own < QUICK_SHARE * 0.7 && share > QUICK_SHARE * 1.4 && apart > ALARM + self.at.agents.ln();
-        let sudden =
-            now < newest + SETTLED && !short && share < QUICK_SHARE && gone > ALARM + self.at.agents.ln();
+        let far = ALARM + self.at.agents.ln();
+        let slow = own < QUICK_SHARE * 0.7 && share > QUICK_SHARE * 1.4 && apart > far;
+        let sudden = now < newest + SETTLED && !short && share < QUICK_SHARE && gone > far;
         d.alarm = started && (sudden || slow || d.alarm && share.min(own * 1.4) < QUICK_SHARE * 1.2);
     }
 
@@ -600,8 +577,7 @@
             _ if zone == self.at.zone => 1.0,
             _ => self.load.abroad,
         };
-        // Earlier appliances that go at the release leave their load to warm ones on trial, unless something
-        // speaks against these. A bad build gets more of the late stages for it.
+        // Earlier appliances that go at the release leave their load to warm ones on trial that nothing speaks against.
         let (mut all, mut places, mut fresh, mut fair) = (0.0, 0.0, 0.0, 0.0);
         for (_, a) in self.running() {
             (all, fair) = (all + 1.0, fair + side(a.zone));
@@ -637,8 +613,7 @@
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
             let second =
                 trial && regressed && !idempotent || a.aside.is_some() && (!idempotent || a.in_flight > 0);
-            // Where crossing is short it comes last of what can answer, before what likely cannot. What is on
-            // trial crosses as ever: no budget may leave its build unjudged.
+            // Where crossing is short it comes last of what can answer; no budget may leave a trial unjudged.
             let told = self.crossings.zones.get(a.zone);
             let spared = !trial && told.is_some_and(|t| t.spares(c.lane, again));
             let rank = match (resting || a.silent(now, patience), tried || second) {
@@ -654,33 +629,28 @@
         let (mut one, mut two) = (draw()?, draw()?);
         // A key's home is the same for all agents, by rendezvous hashing; it may be the busier one by a bit.
         let key = c.key.filter(|_| self.at.warm_keys && !again);
-        let far = |k: u64, f: &(usize, f64, f64)| {
-            let a = &self.fleet[f.0];
-            rendezvous(k, a.mark, self.kinds[a.kind].step)
-        };
+        let far = |k, a: &Appliance| rendezvous(k, a.mark, self.kinds[a.kind].step);
+        let far = |k, f: &(usize, f64, f64)| far(k, &self.fleet[f.0]);
         let home = key.and_then(|k| fit.iter().min_by(|a, b| far(k, a).total_cmp(&far(k, b))));
         one = home.unwrap_or(one);
-        let home = home.map(|f| f.0);
         if let Some(choices) = c.choices.filter(|_| !again) {
             let [a, b] = choices.map(|i| fit.iter().find(|f| f.0 == i));
             (one, two) = (a.or(b).unwrap_or(one), b.or(a).unwrap_or(two));
         }
-        let cost = |f: &(usize, f64, f64)| f.2 * if home == Some(f.0) { WARM } else { 1.0 };
+        let cost = |f: &(usize, f64, f64)| f.2 * if home.map(|h| h.0) == Some(f.0) { WARM } else { 1.0 };
         Some(if cost(two) < cost(one) { [two.0, one.0] } else { [one.0, two.0] })
     }
 
     /// Commands in flight there: this agent's own, or what the appliance said, which comes near the mean of its
     /// kind as it ages. Guards small agents, whose own say nothing.
     fn busy(&self, now: Duration, a: &Appliance) -> f64 {
-        let (mean, own) = (self.kinds[a.kind].held, a.in_flight as f64);
-        let (mean, tells) = (mean.now, mean.seen > 0.0);
-        if !tells {
+        let (Mean { now: mean, seen }, own) = (self.kinds[a.kind].held, a.in_flight as f64);
+        if seen < 1.0 {
             return own;
         }
         let (held, at) = a.held.unwrap_or((mean, now));
         let held = mean + (held - mean) * (-now.saturating_sub(at).as_secs_f64() / RELAX).exp();
-        let mute = if a.asked.is_some() { mean * MUTE } else { 0.0 };
-        1.0 + (held + a.since).max(own).max(mute)
+        1.0 + (held + a.since).max(own)
     }
 
     /// Whether the two choices are asked for what they hold before one is taken.
@@ -688,15 +658,13 @@
         let c = self.commands.get_mut(&id).filter(|c| c.deliveries.is_empty() && c.choices.is_none());
         let Some(c) = c.filter(|_| self.at.probes && self.load.limit.is_some()) else { return false };
         c.choices = Some(choices);
-        let before = self.asks.len();
-        for i in choices {
-            let a = &mut self.fleet[i];
-            if a.held.is_none_or(|h| now > h.1 + FRESH) && a.asked.is_none_or(|t| now > t + FRESH) {
-                a.asked = Some(now);
-                self.asks.push(i);
-            }
-        }
-        self.asks.len() > before
+        let stale = |t: Option<Duration>| t.is_none_or(|t| now > t + FRESH);
+        let due =
+            choices.into_iter().filter(|i| stale(self.fleet[*i].held.map(|h| h.1).max(self.fleet[*i].asked)));
+        let due: Vec<usize> = due.collect();
+        due.iter().for_each(|i| self.fleet[*i].asked = Some(now));
+        self.asks.extend(&due);
+        !due.is_empty()
     }
 
     fn patience(&self) -> Duration {
@@ -777,7 +745,6 @@
                 a.strikes += 1;
                 a.counts[lane].lost += 1.0;
                 beside.lost += weight;
-                self.lossy_until = if trial { self.lossy_until } else { now + LOSSY_FOR };
                 lost |= a.strikes > 1;
             }
         }
@@ -866,14 +833,12 @@
         let side = |kind, newest| median(&|a| a.kind == kind && (a.build >= trial) == newest).unwrap_or(all);
         let fellows: Vec<_> = (0..self.kinds.len()).map(|k| [side(k, false), side(k, true)]).collect();
         Kind::weigh(&mut self.kinds);
+        let carried = self.carried.now * self.crossings.cold * self.at.cold_part;
         for a in &mut self.fleet {
             a.cold_since = a.cold_since.filter(|t| now < *t + self.at.cold_for);
-            // Cold: its part of what a warm one answers here, in whole deliveries that begin by chance, so that the
-            // sum over all agents keeps to that part, too, however many and unequal they are. Guards against a
-            // first one of each. Where nearly all are cold, what they answered while warm; commands are denied.
-            let each =
-                self.at.ramp(now, a) * self.carried.now * self.crossings.cold * self.kinds[a.kind].rate;
-            let each = each * self.at.cold_part;
+            // Cold: its part of what a warm one answers here, beginning by chance, so that the sum over all agents
+            // keeps to it. Guards against a first delivery of each. Denies where nearly all are cold.
+            let each = self.at.ramp(now, a) * self.kinds[a.kind].rate * carried;
             a.quota = (a.quota.max(-1.0) + each).min(1.0 + each * window);
             let median = fellows[a.kind][usize::from(a.build >= trial)];
             // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
@@ -951,7 +916,7 @@
 /// Guards, by the outcomes beside it, against troubles that meet both builds while the trial is on, and
 /// against a baseline known from few: the share from before says little of now. May let a bad build on longer
 /// where the earlier one gets little beside it.
-fn regressed(of: [&Count; 3], worth: f64, least: f64, ease: f64, lossy: bool) -> Option<&'static str> {
+fn regressed(of: [&Count; 3], worth: f64, least: f64, ease: f64) -> Option<&'static str> {
     let ([t, b, beside], mut base) = (of, *of[1]);
     base.mix(LONG_AGO, beside);
     let strange = |of: fn(&Count) -> (f64, f64)| apart(of(t), of(&base)) > least;
@@ -965,9 +930,7 @@
     }
     // Guards against dead machines and lossy ways: what the earlier build loses, too, is not the trial's.
     let lost = t.bad() > LEAST_FAILURES * 2.0 * ease && t.bad() > LOST_SHARE * ease * t.all();
-    let chance = lost && strange(|c| (c.bad(), c.all()));
-    let apart = t.bad() > LOSSY_SHARE * t.all();
-    (chance && b.bad() < BASE_SHARE * b.all() && (apart || !lossy)).then_some("lost")
+    (lost && strange(|c| (c.bad(), c.all())) && b.bad() < BASE_SHARE * b.all()).then_some("lost")
 }
 
 /// Moves a nine-tenths quantile towards a sample.
--- a/src/state.rs
+++ b/src/state.rs
@@ -604,7 +604,13 @@
         self.unheard.is_some_and(|t| now >= t + patience)
     }
 
-    pub fn listed(e: &Listed, lanes: usize, in_flight: usize, cold_since: Option<Duration>) -> Appliance {
+    pub fn listed(
+        e: &Listed,
+        lanes: usize,
+        in_flight: usize,
+        cold_since: Option<Duration>,
+        quota: f64,
+    ) -> Appliance {
         Appliance {
             standing: e.standing,
             zone: e.zone,
@@ -614,6 +620,7 @@
             build: e.build,
             started: e.started,
             cold_since,
+            quota,
             in_flight,
             high: 1.0,
             weight: 1.0,
