Tests of the new shape; a cold appliance draws more where its turns are rare

Seen in a test of 300 agents: quotas alone left cold machines nearly idle (0 to 2 deliveries in 1.5 s of about 60 that they may have), as the agent whose turn it is seldom chose them.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -106,6 +106,7 @@
             rng: Some(rng),
             at,
             load: Load { spare: RETRY_MOST, blame: 1.0, ..Load::default() },
+            carried: Mean { now: 0.0, seen: 1.0 / KIND_GAIN }, // from nothing: a start knows no pace
             ..Choice::default()
         }
     }
@@ -220,7 +221,6 @@
         rooms(&self.fleet, &self.at, now, self.patience(), zones)
     }
 
-    /// A client found an answer of this appliance wrong.
     pub fn flag(&mut self, now: Duration, appliance: usize, lane: usize, age: Duration) {
         let Some(a) = self.fleet.get_mut(appliance) else { return };
         if lane < a.counts.len() && a.started.unwrap_or_default() + age <= now {
@@ -609,6 +609,7 @@
             let share = if trial { fair } else { side(a.zone) * yields };
             let rate = self.kinds[a.kind].rate;
             let draw = a.weight * rate * ramp * share * if regressed && trial { TRICKLE } else { 1.0 };
+            let draw = if a.cold_since.is_some() { draw * (1.0 / a.turns).clamp(1.0, all) } else { draw };
             let tried = c.deliveries.iter().any(|d| d.appliance == i);
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
             let second =
@@ -837,8 +838,8 @@
             a.cold_since = a.cold_since.filter(|t| now < *t + self.at.cold_for);
             // Cold: its part of what a warm one answers here, beginning by chance, so that the sum over all
             // agents keeps to it. Guards against a first delivery of each. Denies where nearly all are cold.
-            let each = self.at.ramp(now, a) * self.kinds[a.kind].rate * carried;
-            a.quota = (a.quota.max(-1.0) + each).min(1.0 + each * window);
+            a.turns = self.at.ramp(now, a) * self.kinds[a.kind].rate * carried * window;
+            a.quota = (a.quota.max(-1.0) + a.turns / window).min(1.0 + a.turns);
             let median = fellows[a.kind][usize::from(a.build >= trial)];
             // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
             let pace = (a.high / median).max(0.3);
--- a/src/state.rs
+++ b/src/state.rs
@@ -181,7 +181,8 @@
     pub high: f64, // a high quantile of its answer times
     pub weight: f64,
     pub counts: Vec<Count>,
-    pub quota: f64,                    // deliveries that it may get while cold
+    pub quota: f64,                    // deliveries that it may get while cold,
+    pub turns: f64,                    // and how many within the time that topples one
     pub held: Option<(f64, Duration)>, // commands that it said it held, and when
     pub since: f64,                    // sent to it from here since then
     pub asked: Option<Duration>,       // for its load, and not yet heard
--- /dev/null
+++ b/tests/shape.rs
@@ -0,0 +1,201 @@
+//! Fleets of another shape: hundreds of agents with little traffic each, two kinds of machines, load reports,
+//! warm keys, guarded stages, tallies, places that are taken over one by one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tulipwall::*;
+
+mod world;
+use world::{deployment, listed, ms, trial, World};
+
+fn shape(seed: u64, agents: u32) -> Deployment {
+    let mut d = Deployment { agents, second_copies: true, warm_keys: true, probes: true, ..deployment(seed) };
+    (d.fall_multiple, d.customers) = (2.0, Vec::new());
+    let r = &mut d.rollout;
+    (r.guarded_stages, r.by_lane, r.in_place, r.tallied) = (1, true, true, true);
+    (r.caps, r.back_votes, r.hold_votes) = (vec![0.048, 0.3, 1.0], agents / 4, agents / 3);
+    d
+}
+
+fn fleet(agents: u32) -> Vec<Choice> {
+    (0..agents).map(|i| Choice::new(ms(1000), shape(u64::from(i) * 977 + 1, agents))).collect()
+}
+
+fn entries(of: std::ops::Range<usize>, build: u32, started: Option<u64>) -> Vec<Listed> {
+    of.map(|i| Listed { zone: 0, kind: i % 2, ..listed(i, build, started) }).collect()
+}
+
+fn command(lane: usize, key: u64) -> Command {
+    Command { lane, customer: None, key: Some(key), left: ms(1500), work: None, again: false }
+}
+
+/// Where a command of this key goes; answered at once.
+fn sent(choice: &mut Choice, now: Duration, id: u64, lane: usize, key: u64) -> Option<usize> {
+    choice.take(now, id, command(lane, key));
+    let mut answer = choice.place(now, id);
+    if let Answer::NotYet { until } = answer {
+        choice.wait(now);
+        answer = choice.place(until, id);
+    }
+    match answer {
+        Answer::Send { appliance, .. } => Some(appliance),
+        _ => None,
+    }
+}
+
+/// Against all agents choosing the one idle appliance of the same old report.
+#[test]
+fn four_hundred_agents_on_one_stale_report_do_not_all_choose_the_idle_appliance() {
+    let mut got = BTreeMap::<usize, usize>::new();
+    for (n, choice) in fleet(400).iter_mut().enumerate() {
+        choice.list(ms(1000), &entries(0..20, 1, None), true);
+        (0..20)
+            .for_each(|i| choice.told(ms(1000), i, Outcome::Satisfied, Some(if i == 7 { 0.0 } else { 6.0 })));
+        *got.entry(sent(choice, ms(1100), 1, 0, n as u64).unwrap()).or_default() += 1;
+    }
+    assert!(got[&7] < 80, "twice its share and a little: {got:?}");
+    assert!(got[&7] > 20, "and yet more than its share: {got:?}");
+}
+
+/// Against a key so popular that its home would overflow; and homes must be the same for all while they can bear it.
+#[test]
+fn a_key_has_one_home_for_all_until_that_is_busy() {
+    let homes = |load: f64| {
+        let mut got = BTreeMap::<usize, usize>::new();
+        for choice in &mut fleet(100) {
+            choice.list(ms(1000), &entries(0..20, 1, None), true);
+            (0..20).for_each(|i| choice.told(ms(1000), i, Outcome::Satisfied, Some(4.0)));
+            if let Some(home) = sent(choice, ms(1100), 1, 0, 4711) {
+                choice.told(ms(1200), home, Outcome::Satisfied, Some(load));
+                *got.entry(sent(choice, ms(1210), 2, 0, 4711).unwrap()).or_default() += 1;
+            }
+        }
+        got.values().copied().max().unwrap()
+    };
+    assert!(homes(4.0) >= 95, "{}", homes(4.0));
+    assert!(homes(40.0) < 30, "{}", homes(40.0));
+}
+
+fn tally(build: u32, lane: usize, deliveries: f64, failed: f64, took: u64) -> Tally {
+    Tally { build, lane, deliveries, failed, took: ms(took), age: ms(1000) }
+}
+
+/// Five seconds of tallies of an earlier build and a trial; the verdict then.
+fn verdict(stage: usize, earlier: Tally, of_trial: Tally) -> Option<Verdict> {
+    let mut w = World::new(shape(5, 400));
+    w.list(&entries(0..20, 7, None));
+    w.list(&entries(20..22, 8, Some(900)));
+    w.news(trial(8, stage, 0.3));
+    for _ in 0..5 {
+        w.choice.tally(&earlier);
+        w.choice.tally(&of_trial);
+        w.pass(ms(1000));
+    }
+    w.last_vote()
+}
+
+/// Against a good build taken for slow as nothing is warm yet; harms where a build is only a little slower.
+#[test]
+fn a_good_build_without_warm_keys_is_let_on_by_the_tallies_and_a_slow_one_is_not() {
+    assert_eq!(verdict(1, tally(7, 0, 200.0, 1.0, 100), tally(8, 0, 20.0, 0.0, 130)), None);
+    let slow = verdict(1, tally(7, 0, 200.0, 1.0, 100), tally(8, 0, 20.0, 0.0, 270));
+    assert_eq!(slow, Some(Verdict::Back));
+}
+
+/// Against a lane that fails only once the guard is open, and against nonsense in a tally.
+#[test]
+fn a_lane_with_an_effect_that_fails_once_the_guard_opens_is_sent_back() {
+    let bad = verdict(1, tally(7, 2, 100.0, 1.0, 100), tally(8, 2, 12.0, 7.0, 100));
+    assert_eq!(bad, Some(Verdict::Back));
+    assert_eq!(verdict(1, tally(7, 2, 100.0, 1.0, 100), tally(8, 99, -5.0, f64::NAN, 0)), None);
+    assert_eq!(
+        verdict(1, tally(7, 2, 100.0, 30.0, 100), tally(8, 2, 12.0, 4.0, 100)),
+        None,
+        "the same of both"
+    );
+}
+
+/// Against the first delivery of each of many agents: together they topple a cold appliance.
+#[test]
+fn half_the_fleet_cold_at_once_gets_no_more_than_its_part_from_all_together() {
+    let mut fleet = fleet(300);
+    for choice in &mut fleet {
+        choice.list(ms(1000), &entries(0..20, 1, None), true);
+        let released = News { phase: Phase::Released, ..trial(1, 2, 1.0) };
+        choice.news(released);
+    }
+    let (mut id, mut cold, mut warm) = (0, [0usize; 10], 0);
+    for step in 0..1200u64 {
+        let now = ms(1000 + step * 10);
+        for (n, choice) in fleet.iter_mut().enumerate() {
+            if step == 1000 {
+                choice.list(now, &entries(10..20, 1, Some(10_990)), false);
+            }
+            choice.wait(now);
+            if (step + n as u64 * 7).is_multiple_of(25) {
+                id += 1;
+                let Some(i) = sent(choice, now, id, 0, id) else { continue };
+                let end = End { outcome: Outcome::Satisfied, took: ms(60), closed: true, held: Some(2.0) };
+                choice.after(now, id, 0, end);
+                // The first second and a half after the start.
+                if (1000..1150).contains(&step) {
+                    *(if i < 10 { &mut warm } else { &mut cold[i - 10] }) += 1;
+                }
+            }
+        }
+    }
+    let part = 0.7 * warm as f64 / 10.0 * 2.0 * 0.7;
+    assert!(cold.iter().all(|n| (*n as f64) < part), "{cold:?} of which each may have {part}, warm {warm}");
+    assert!(cold.iter().all(|n| *n > 0), "{cold:?}");
+}
+
+/// Against agents that come back with nothing but a list: they keep to the first stage, and judge nothing.
+#[test]
+fn an_agent_restarted_within_a_stage_exposes_no_lane_with_an_effect_and_votes_for_nothing() {
+    let mut w = World::new(shape(3, 120));
+    w.list(&entries(0..6, 7, None));
+    w.list(&entries(6..12, 8, Some(500)));
+    for id in 0..200 {
+        if let Answer::Send { appliance, .. } = w.take(id, 1 + id as usize % 2, ms(1500)) {
+            assert!(appliance < 6, "an unannounced build counts as in the first stage");
+        }
+        w.pass(ms(20));
+        (0..12).for_each(|i| while w.end_at(i, Outcome::Satisfied) {});
+    }
+    assert_eq!(w.last_vote(), None);
+}
+
+/// Chance alone is no difference: the same settings watched count nothing.
+#[test]
+fn the_same_settings_watched_count_no_difference_and_others_do() {
+    let mut d = shape(9, 120);
+    (d.rollout.guarded_stages, d.warm_keys, d.rollout.caps) = (0, false, vec![0.5, 0.5, 1.0]);
+    let other =
+        Shape { guarded_stages: Some(1), caps: Some(vec![0.02]), warm_keys: Some(true), ..Shape::default() };
+    let mut watches = [Watch::new(&d, &Shape::default()), Watch::new(&d, &other)];
+    let (mut choice, mut plain) = (Choice::new(ms(1000), d.clone()), Choice::new(ms(1000), d));
+    for c in [&mut choice, &mut plain] {
+        c.list(ms(1000), &entries(0..6, 7, None), true);
+        c.list(ms(1000), &entries(6..9, 8, Some(900)), false);
+        c.news(trial(8, 0, 0.5));
+    }
+    for id in 0..400 {
+        let (now, lane) = (ms(1000 + id * 30), id as usize % 3);
+        for c in [&mut choice, &mut plain] {
+            c.wait(now);
+            c.take(now, id, command(lane, id % 9));
+        }
+        watches.iter_mut().for_each(|w| w.take(&choice, lane));
+        let answer = choice.place(now, id);
+        assert_eq!(answer, plain.place(now, id), "it decides as before");
+        if let Answer::Send { appliance, .. } = answer {
+            watches.iter_mut().for_each(|w| w.sent(now, &choice, lane, Some(id % 9), appliance));
+        }
+        for c in [&mut choice, &mut plain] {
+            c.after(now, id, 0, End { outcome: Outcome::Satisfied, took: ms(20), closed: true, held: None });
+        }
+    }
+    let [same, other] = watches.map(|w| w.counts);
+    assert_eq!(same, Otherwise { deliveries: same.deliveries, ..Otherwise::default() });
+    assert!(other.guarded > 10 && other.exposure > 10 && other.key > 100, "{other}");
+}
