--- a/crates/deployment/src/instance.rs
+++ b/crates/deployment/src/instance.rs
@@ -29,6 +29,8 @@
         let mut site = Site::read(&c.inner("settings")?, seed).map_err(|f| format!("settings: {f}"))?;
         // On sockets the list is always asked for, whatever the simulator does here.
         site.deployment.list_asked = true;
+        // Nor is there a way to ask an appliance for its load; what it tells in its answers is heard.
+        site.deployment.probes = false;
         let limits = c.maybe("limits").map(|l| Fields::of(l, "limits")).transpose()?;
         let limit = |name: &str, other: u64| {
             let read = limits.as_ref().map_or(Ok(other), |l| l.whole_or(name, other));
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -108,6 +108,7 @@
         for cap in domain.array("most-shares")? {
             caps.push(cap.as_f64().ok_or("field most-shares: numbers are wanted".to_owned())?);
         }
+        check(s, &domain, &rules, caps.len())?;
         let come_back = limits.flag("retry-after")?.then_some(limits.span_or("max-retry-after-ms", 0.0)?);
         let deployment = Deployment {
             seed,
@@ -188,6 +189,33 @@
     }
 }
 
+/// What is in no range gets one line that names its key.
+fn check(s: &Fields, domain: &Fields, rules: &Fields, stages: usize) -> Result<(), String> {
+    let wrong = |key: &str, what: String| Err(format!("field {key}: {what}"));
+    for (of, key) in [(s, "instances"), (domain, "noes-needed")] {
+        if of.whole_or(key, 1)? == 0 {
+            return wrong(key, "one at least is wanted".into());
+        }
+    }
+    if domain.whole_or("closed-stages", 0)? as usize > stages {
+        return wrong("closed-stages", format!("there are {stages} stages"));
+    }
+    for (of, key) in [(domain, "reported-share"), (domain, "counted-share"), (rules, "cold-share")] {
+        if !(0.0..=1.0).contains(&of.number_or(key, 0.0)?) {
+            return wrong(key, "a share from 0 to 1 is wanted".into());
+        }
+    }
+    for cap in domain.array("most-shares")? {
+        if !cap.as_f64().is_some_and(|c| (0.0..=1.0).contains(&c)) {
+            return wrong("most-shares", "shares from 0 to 1 are wanted".into());
+        }
+    }
+    if rules.number_or("fall-multiple", 2.0)? < 1.0 {
+        return wrong("fall-multiple", "1 or more is wanted".into());
+    }
+    Ok(())
+}
+
 fn group(c: &Fields) -> Result<Group, String> {
     Ok(match c.text("dedup-scope")? {
         "all" => Group::All,
--- a/crates/deployment/tests/installation.rs
+++ b/crates/deployment/tests/installation.rs
@@ -27,15 +27,51 @@
 }
 "#;
 
-fn site() -> Site {
+fn settings() -> serde_json::Value {
     let class =
         |name: &str| json!({"name": name, "aim-ms": 400.0, "idempotency": "repeatable", "points": 3.0});
-    let settings = json!({"zones": ["east", "west"], "zone": "east", "classes": [class("view"), class("send")],
+    json!({"zones": ["east", "west"], "zone": "east", "classes": [class("view"), class("send")],
         "discovery": "push", "instances": 4, "rules": {}, "prices": {},
         "limits": {"try-limit": 5},
         "domain": {"most-shares": [1.0], "cap-scope": "all", "decided-by": "timer", "swap": "beside",
-            "vote-ttl-ms": 1.0, "vote-wait-ms": 1.0}});
-    Site::read(&Fields::of(&settings, "settings").unwrap(), 1).unwrap()
+            "vote-ttl-ms": 1.0, "vote-wait-ms": 1.0}})
+}
+
+fn site() -> Site {
+    Site::read(&Fields::of(&settings(), "settings").unwrap(), 1).unwrap()
+}
+
+#[test]
+fn what_is_in_no_range_is_named_by_its_key_and_what_is_missing_has_its_default() {
+    let with = |part: &str, key: &str, value: serde_json::Value| {
+        let mut s = settings();
+        let of = if part.is_empty() { &mut s } else { &mut s[part] };
+        of[key] = value;
+        Site::read(&Fields::of(&s, "settings").unwrap(), 1).map(|_| ()).unwrap_err().to_string()
+    };
+    assert_eq!(with("domain", "closed-stages", json!(2)), "field closed-stages: there are 1 stages");
+    assert!(with("domain", "closed-stages", json!(-1)).starts_with("field closed-stages:"));
+    assert_eq!(with("domain", "noes-needed", json!(0)), "field noes-needed: one at least is wanted");
+    assert_eq!(with("", "instances", json!(0)), "field instances: one at least is wanted");
+    assert!(with("domain", "reported-share", json!(1.5)).starts_with("field reported-share: a share"));
+    assert!(with("domain", "most-shares", json!([0.2, 7])).starts_with("field most-shares: shares"));
+    assert_eq!(with("rules", "fall-multiple", json!(0.5)), "field fall-multiple: 1 or more is wanted");
+    let d = site().deployment;
+    assert!(!d.warm_keys && !d.probes && !d.rollout.tallied && d.rollout.guarded_stages == 0);
+    assert_eq!((d.fall_multiple, d.rollout.back_votes), (2.0, 1));
+}
+
+#[test]
+fn a_watched_shape_is_read_and_its_mistakes_are_named() {
+    let text =
+        "watch {\n    guarded-stages 1\n    caps 0.05 0.3\n    warm-keys #true\n    cold-for \"4s\"\n}\n";
+    let shape = Installation::read(text).unwrap().watch(&site()).unwrap().unwrap();
+    assert_eq!((shape.guarded_stages, shape.warm_keys, shape.free), (Some(1), Some(true), None));
+    assert_eq!((shape.caps, shape.cold_for), (Some(vec![0.05, 0.3]), Some(Duration::from_secs(4))));
+    assert!(Installation::read("log \"text\"\n").unwrap().watch(&site()).unwrap().is_none());
+    let far = Installation::read("watch {\n    guarded-stages 9\n}\n").unwrap().watch(&site()).unwrap_err();
+    assert!(far[0].to_string().contains("guarded-stages: there are 1 stages"), "{}", far[0]);
+    assert!(Installation::read("watch {\n    caps 7\n}\n").is_err());
 }
 
 fn mistakes(text: &str) -> Vec<String> {
