--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,7 @@
 const TALLY_APART: f64 = 6.0; // beyond chance, as a logarithm
 const TALLY_SLOW: f64 = 1.6; // times the earlier build's time
 const PACE_EXCUSED: f64 = 1.4; // times the usual: warm keys, young machines, long tails
+const POPULAR: usize = 32; // a key met within so many commands is warm anywhere, and would swamp a home
 const WARM: f64 = 0.7; // what the home of a key weighs, as it does less work for it
 const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
 const FRESH: Duration = ms(150); // a load report that is not asked for again
@@ -75,6 +76,7 @@
     pub(crate) fleet: Vec<Appliance>,
     pub(crate) kinds: Vec<Kind>,
     asks: Vec<usize>, // for their load
+    recent: Recent,
     pub(crate) builds: BTreeMap<u32, Build>,
     bound: BTreeMap<u64, u32>, // keys that a build on trial has answered
     pub(crate) news: Option<News>,
@@ -111,7 +113,6 @@
         }
     }
 
-    /// A command has come in.
     pub fn take(&mut self, now: Duration, id: u64, c: Command) {
         self.load.spare = (self.load.spare + RETRY_EACH).min(RETRY_MOST);
         self.intake.taken += if c.again { 0.0 } else { 1.0 };
@@ -120,7 +121,8 @@
             b.tokens[slot] = (b.tokens[slot] + b.cap).min(self.at.free);
         }
         c.customer.and_then(|i| self.customer_load.get_mut(i)).into_iter().for_each(|l| *l += 1.0);
-        self.commands.insert(id, Open::new(now, &c));
+        let home = c.key.filter(|k| self.at.warm_keys && !self.recent.met(*k, POPULAR));
+        self.commands.insert(id, Open { home, ..Open::new(now, &c) });
     }
 
     /// Guards against this agent's own stalls: what is found at once after one says nothing of how quick or
@@ -413,7 +415,6 @@
         open && self.builds.get(&build).is_some_and(|b| b.cap > 0.0 && b.tokens[slot] >= 1.0)
     }
 
-    /// The verdict on the newest build against the build before it.
     fn judge(&mut self, now: Duration) {
         let Some(n) = self.news.clone() else { return };
         let earlier = earlier(&self.builds, n.build);
@@ -629,7 +630,7 @@
         let mut draw = || fit.choose_weighted(rng, |c| c.1).ok().or(fit.last());
         let (mut one, mut two) = (draw()?, draw()?);
         // A key's home is the same for all agents, by rendezvous hashing; it may be the busier one by a bit.
-        let key = c.key.filter(|_| self.at.warm_keys && !again);
+        let key = c.home.filter(|_| !again);
         let far = |k, a: &Appliance| rendezvous(k, a.mark, self.kinds[a.kind].step);
         let far = |k, f: &(usize, f64, f64)| far(k, &self.fleet[f.0]);
         let home = key.and_then(|k| fit.iter().min_by(|a, b| far(k, a).total_cmp(&far(k, b))));
@@ -876,7 +877,6 @@
         self.judge(now);
     }
 
-    /// Whether the load leaves no room for a command of this lane and customer.
     fn crowded(&self, c: &Open) -> bool {
         let Some(limit) = self.load.limit else { return false };
         let density = |l: &LaneView| l.benefit / if self.at.by_work { 1.0 } else { l.least.max(1e-4) };
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use crate::types::*;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 pub(crate) const fn ms(n: u64) -> Duration {
@@ -35,6 +35,20 @@
     }
 }
 
+/// The keys of the last commands.
+#[derive(Default)]
+pub(crate) struct Recent(VecDeque<u64>);
+
+impl Recent {
+    /// Whether this one is among the last so many; from now on it is.
+    pub fn met(&mut self, key: u64, most: usize) -> bool {
+        let met = self.0.contains(&key);
+        self.0.push_back(key);
+        self.0.drain(..self.0.len().saturating_sub(most));
+        met
+    }
+}
+
 /// What this agent has out, and what it may have.
 #[derive(Default)]
 pub(crate) struct Load {
@@ -159,6 +173,7 @@
     pub deliveries: Vec<Delivery>,
     pub closed: bool,
     pub choices: Option<[usize; 2]>, // asked for their load
+    pub home: Option<u64>,           // the key, where it has one
 }
 
 #[derive(Default)]
@@ -596,6 +611,7 @@
             deliveries: Vec::new(),
             closed: false,
             choices: None,
+            home: None,
         }
     }
 }
