--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,6 +46,7 @@
 const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
 const FRESH: Duration = ms(150); // a load report that is not asked for again
 const KIND_GAIN: f64 = 0.02;
+const SLOW_SHARE: f64 = 0.8; // of the earlier build's share of quick answers
 const TRICKLE: f64 = 0.1; // of a fair share, so that a regressed build can show otherwise
 
 const SURVEY: Duration = ms(100);
@@ -58,6 +59,7 @@
 const TARGET: f64 = 0.4; // of the quoted time: a mean answer that keeps nearly all within it
 const EASY: f64 = 0.2; // of the quoted time: answers this quick need no bound
 const FIRST_GUESS: f64 = 0.15; // of the quoted time: an answer before any has come
+const FALLEN: f64 = 0.6; // of the highest limit of late
 const RATE_GAIN: f64 = 0.2; // each survey
 const GAP: Duration = ms(250); // between calls of a kind, doubled as they fail
 const BLAME_GAIN: f64 = 0.15;
@@ -125,8 +127,7 @@
         self.commands.insert(id, Open { home, ..Open::new(now, &c) });
     }
 
-    /// Guards against this agent's own stalls: what is found at once after one says nothing of how quick or
-    /// how silent anyone was. May pass over a slow machine for that moment.
+    /// Guards against this agent's own stalls: what is found at once after one says nothing of anyone else.
     fn resume(&mut self, now: Duration) {
         if now > self.survey_at + SURVEY * 2 && self.resumed < now {
             self.resumed = now;
@@ -218,7 +219,6 @@
         own.into_iter().for_each(|c| *c = Crossing { draw: Some(1.0), ..Crossing::default() });
     }
 
-    /// What each of so many zones holds now.
     pub fn rooms(&self, now: Duration, zones: usize) -> Vec<Room> {
         rooms(&self.fleet, &self.at, now, self.patience(), zones)
     }
@@ -318,8 +318,7 @@
         let (appliance, build, lane, key) = (d.appliance, d.build, c.lane, c.key);
         self.load.in_flight = self.load.in_flight.saturating_sub(1);
         // Guards against commands that fail anywhere: what fails at a second appliance, too, is held against
-        // neither; `blame` is the part of failures that a second appliance did not share. Should also spare
-        // machines and builds a broken dependency; may spare a build that fails nearly all of a lane.
+        // neither. Should also spare a broken dependency; may spare a build that fails nearly all of a lane.
         let first = c.deliveries[..delivery].iter().find(|d| d.failed).map(|d| (d.appliance, d.build));
         match (end.outcome, first) {
             (Outcome::Failed, Some((i, b))) => {
@@ -373,7 +372,6 @@
         Due { until, vote, watch, asks, notes: std::mem::take(&mut self.notes) }
     }
 
-    /// Counts of what is kept: commands, appliances, builds and keys.
     pub fn kept(&self) -> [usize; 4] {
         [self.commands.len(), self.fleet.len(), self.builds.len(), self.bound.len()]
     }
@@ -500,13 +498,13 @@
         let ((share, gone), (own, apart)) = (d.quick_share(0), d.quick_share(1));
         let far = ALARM + self.at.agents.ln();
         let slow = own < QUICK_SHARE * 0.7 && share > QUICK_SHARE * 1.4 && apart > far;
+        d.heavy |= started && own < share * SLOW_SHARE && apart > far;
         let sudden = now < newest + SETTLED && !short && share < QUICK_SHARE && gone > far;
         d.alarm = started && (sudden || slow || d.alarm && share.min(own * 1.4) < QUICK_SHARE * 1.2);
     }
 
-    /// Counts of a build by lane. Appliances set aside are left out of an earlier build: their lost answers
-    /// would erase the baseline. Guards against a sick machine that speaks ill of its build: one of three
-    /// or more on trial that has most of the failures is left out. May delay the verdict on a rare failure.
+    /// Counts of a build by lane. Of an earlier build the lost answers of appliances set aside are left out.
+    /// Guards against a sick machine that speaks ill of its build: one of three on trial with most failures.
     fn totals(&self, build: u32) -> Vec<Count> {
         let past = self.builds.get(&build).map(|b| b.past.clone());
         let mut sum = past.unwrap_or_else(|| vec![Count::default(); self.lanes.len()]);
@@ -673,8 +671,8 @@
         Duration::from_secs_f64((high * 2.0).clamp(0.1, 3.0))
     }
 
-    /// When an answer counts as lost though its appliance speaks: where a second copy may go out, early while
-    /// the load is easy. Guards against ways that lose answers and slow machines; runs heavy commands twice.
+    /// When an answer counts as lost though its appliance speaks. Guards against ways that lose answers and
+    /// slow machines; runs heavy commands twice.
     fn late_after(&self, l: &LaneView) -> Duration {
         let easy = self.load.limit.is_none_or(|most| (self.load.in_flight as f64) < most * 0.5);
         match (self.at.second_copies, easy) {
@@ -871,6 +869,10 @@
             good &= l.usual < l.quoted * EASY;
         }
         let limit = room + room.sqrt() + 2.0;
+        // Guards against a limit that falls with the rate it lets through, once the newest build is slow.
+        let fell = limit < self.load.peak * FALLEN && self.drag.heavy && !good;
+        self.lanes.iter_mut().filter(|_| fell).for_each(|l| l.least = l.usual);
+        self.load.peak = if good || fell { limit } else { (self.load.peak * 0.998).max(limit) };
         self.load.limit = (!good).then_some(limit);
         let patience = self.patience();
         self.load.stuck = self.fleet.iter().filter(|a| a.silent(now, patience)).map(|a| a.in_flight).sum();
@@ -899,7 +901,6 @@
         }
     }
 
-    /// The client went away, or has its final answer.
     pub fn left(&mut self, id: u64) {
         if let Some(c) = self.commands.get_mut(&id) {
             c.closed = true;
@@ -912,9 +913,8 @@
 
 /// Whether the build on trial regressed a lane that the earlier build satisfies: by its share, and beyond
 /// what chance would show at any of the agents. `ease` is less where a hold stands.
-/// Guards, by the outcomes beside it, against troubles that meet both builds while the trial is on, and
-/// against a baseline known from few: the share from before says little of now. May let a bad build on longer
-/// where the earlier one gets little beside it.
+/// Guards, by the outcomes beside it, against troubles that meet both builds while the trial is on. May let a
+/// bad build on longer where the earlier one gets little beside it.
 fn regressed(of: [&Count; 3], worth: f64, least: f64, ease: f64) -> Option<&'static str> {
     let ([t, b, beside], mut base) = (of, *of[1]);
     base.mix(LONG_AGO, beside);
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,6 +54,7 @@
 pub(crate) struct Load {
     pub in_flight: usize,
     pub stuck: usize,
+    pub peak: f64, // the highest limit of late
     pub done: f64, // answers of warm appliances in this survey
     pub limit: Option<f64>,
     pub spare: f64, // further deliveries earned
@@ -356,7 +357,8 @@
     pub quick: [f64; 2], // answers of the earlier build and of the trial quicker than half were before,
     pub seen: [f64; 2],  // of those seen of late
     pub alarm: bool,
-    pub slow: bool, // all answers, surely enough for one of several that must agree
+    pub heavy: bool, // its own quick answers were fewer than the earlier build's, beyond chance
+    pub slow: bool,  // all answers, surely enough for one of several that must agree
 }
 
 #[derive(Default)]
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -149,6 +149,33 @@
     }
 }
 
+#[test]
+fn where_a_new_build_has_made_all_work_slower_the_load_let_in_does_not_dwindle() {
+    let mut w = rollout(|d| d.rollout.caps[0] = 1.0);
+    w.list(&(10..24).map(|i| listed(i, 8, Some(1100))).collect::<Vec<_>>());
+    let play = |w: &mut World, from: u64, n: u64, slow: u64| {
+        for id in from..from + n {
+            w.take(id, 0, ms(1500));
+            w.pass(ms(10));
+            let took = |i: usize| ms(if i >= 8 { slow } else { 10 });
+            let late = |d: &Out| d.ended.is_none() && w.now - d.sent >= took(d.appliance);
+            let over: Vec<(u64, usize)> = w
+                .held
+                .iter()
+                .filter_map(|(id, h)| Some((*id, h.deliveries.iter().position(late)?)))
+                .collect();
+            over.into_iter().for_each(|(id, n)| w.end(id, n, Outcome::Satisfied));
+        }
+    };
+    play(&mut w, 1000, 1000, 60);
+    w.list(&(0..8).map(|i| Listed { standing: Standing::Gone, ..listed(i, 7, None) }).collect::<Vec<_>>());
+    w.news(News { phase: Phase::Released, ..trial(8, 0, 1.0) });
+    play(&mut w, 2000, 3000, 300);
+    let denied = |h: &Held| matches!(h.answers[..], [Answer::Deny { .. }]);
+    let denied = w.held.range(4000..5000).filter(|h| denied(h.1)).count();
+    assert!(denied < 300, "{denied} of the last 1000");
+}
+
 #[test]
 fn what_nobody_takes_is_denied_in_the_first_half_of_its_time() {
     let mut w = World::new(deployment(6));
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -65,7 +65,9 @@
         for choice in &mut fleet(100) {
             choice.list(ms(1000), &entries(0..20, 1, None), true);
             (0..20).for_each(|i| choice.told(ms(1000), i, Outcome::Satisfied, Some(4.0)));
+            // Another key between them: one that comes again at once is warm anywhere and has no home.
             if let Some(home) = sent(choice, ms(1100), 1, 0, 4711) {
+                (10..50).for_each(|n| drop(sent(choice, ms(1150), n, 0, n)));
                 choice.told(ms(1200), home, Outcome::Satisfied, Some(load));
                 *got.entry(sent(choice, ms(1210), 2, 0, 4711).unwrap()).or_default() += 1;
             }
@@ -135,7 +137,12 @@
             if (step + n as u64 * 7).is_multiple_of(25) {
                 id += 1;
                 let Some(i) = sent(choice, now, id, 0, id) else { continue };
-                let end = End { outcome: Outcome::Satisfied, took: ms(60), closed: true, held: Some(2.0) };
+                let end = End {
+                    outcome: Outcome::Satisfied,
+                    took: ms(60),
+                    closed: true,
+                    held: Some(if i < 10 { 2.0 } else { 0.2 }),
+                };
                 choice.after(now, id, 0, end);
                 // The first second and a half after the start.
                 if (1000..1150).contains(&step) {
