--- a/src/choice.rs
+++ b/src/choice.rs
@@ -426,7 +426,6 @@
         let (mut why, mut strength) = (None, 0.0f64);
         let (trial, before) = (self.totals(n.build), self.totals(earlier));
         let (pool, base, beside) = (Count::sum(&trial), Count::sum(&before), Count::sum(&self.beside.counts));
-        // Each lane, and all together: a build that fails every lane shows sooner in the sum.
         let lanes = trial.iter().zip(&before).zip(&self.beside.counts).chain([((&pool, &base), &beside)]);
         for (lane, ((t, b), s)) in lanes.enumerate().filter(|_| pool.all() >= LEAST_OUTCOMES) {
             if let Some(what) = regressed([t, b, s], worth, certain * ease, ease) {
@@ -837,10 +836,11 @@
             a.cold_since = a.cold_since.filter(|t| now < *t + self.at.cold_for);
             // Cold: its part of what a warm one answers here, beginning by chance, so that the sum over all
             // agents keeps to it. Guards against a first delivery of each. Denies where nearly all are cold.
-            a.turns = self.at.ramp(now, a) * self.kinds[a.kind].rate * carried * window;
-            a.quota = (a.quota.max(-1.0) + a.turns / window).min(1.0 + a.turns);
+            let turns = self.at.ramp(now, a) * self.kinds[a.kind].rate * carried * window;
+            let begins = if a.turns > 0.0 { 0.0 } else { turns };
+            a.quota = (a.quota.max(-1.0) + begins + turns / window).min(1.0 + turns);
+            a.turns = turns;
             let median = fellows[a.kind][usize::from(a.build >= trial)];
-            // Its high quantile against its fellows': slower ones draw less, far slower ones far less.
             let pace = (a.high / median).max(0.3);
             a.weight = if pace < 1.5 { pace.powf(-0.5) } else { 1.5f64.powf(1.5) * pace.powi(-2) };
             a.high += (median - a.high) * FORGIVE;
