--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -67,7 +67,8 @@
             (0..20).for_each(|i| choice.told(ms(1000), i, Outcome::Satisfied, Some(4.0)));
             // Another key between them: one that comes again at once is warm anywhere and has no home.
             if let Some(home) = sent(choice, ms(1100), 1, 0, 4711) {
-                (10..50).for_each(|n| drop(sent(choice, ms(1150), n, 0, n)));
+                let others = (10..50).filter_map(|n| sent(choice, ms(1150), n, 0, n));
+                assert_eq!(others.count(), 40);
                 choice.told(ms(1200), home, Outcome::Satisfied, Some(load));
                 *got.entry(sent(choice, ms(1210), 2, 0, 4711).unwrap()).or_default() += 1;
             }
