No early second copies while answers are not quick

With hundreds of agents each has one or two commands in flight and a bound of root + 2 more, so it was always under half of it: the copies went on, and slowed all, exactly when there was no room. No tuned value added, one gone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -670,13 +670,12 @@
         Duration::from_secs_f64((high * 2.0).clamp(0.1, 3.0))
     }
 
-    /// When an answer counts as lost though its appliance speaks. Guards against ways that lose answers and
-    /// slow machines; runs heavy commands twice.
+    /// When an answer counts as lost though its appliance speaks: early only while answers are quick, as copies
+    /// slow all. Guards against ways that lose answers and slow machines; runs heavy commands twice.
     fn late_after(&self, l: &LaneView) -> Duration {
-        let easy = self.load.limit.is_none_or(|most| (self.load.in_flight as f64) < most * 0.5);
-        match (self.at.second_copies, easy) {
-            (true, true) => Duration::from_secs_f64((l.quoted * HEDGE).max(l.usual * 1.5)),
-            (true, false) => self.patience() * 2,
+        match (self.at.second_copies, self.load.limit) {
+            (true, None) => Duration::from_secs_f64((l.quoted * HEDGE).max(l.usual * 1.5)),
+            (true, Some(_)) => self.patience() * 2,
             (false, _) => Duration::MAX / 4,
         }
     }
