Commands with a heavy hint go to the quicker kind of machines

The hint (estimate-ms) was passed on and not used. Change: a hint over 0.2 of the quoted time (HEAVY) draws by the fourth power of its kind's pace and counts no machine as less busy than its kind's mean. Where no hint comes or all machines are alike nothing changes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,7 @@
 const PACE_EXCUSED: f64 = 1.4; // times the usual: warm keys, young machines, long tails
 const POPULAR: usize = 32; // a key met within so many commands is warm anywhere, and would swamp a home
 const WARM: f64 = 0.7; // what the home of a key weighs, as it does less work for it
+const HEAVY: f64 = 0.2; // of the quoted time: a hint of so much work
 const RELAX: f64 = 1.0; // seconds in which a load report comes near the mean of its kind
 const FRESH: Duration = ms(150); // a load report that is not asked for again
 const KIND_GAIN: f64 = 0.02;
@@ -589,24 +590,23 @@
         let yields =
             if self.at.in_place || doubted { 1.0 } else { (1.0 - fresh / f64::max(places, 1.0)).max(LEFT) };
         let again = !c.deliveries.is_empty();
+        let heavy = c.work.is_some_and(|w| w.as_secs_f64() > self.lanes[c.lane].quoted * HEAVY);
         let mut pool: [Vec<(usize, f64, f64)>; 4] = Default::default();
         for (i, a) in self.running() {
-            if a.build < floor
-                || !self.may_expose(a.build, c.lane)
-                || !c.within_group(repeats, a, now + self.at.tick)
-            {
+            let fits = a.build >= floor && c.within_group(repeats, a, now + self.at.tick);
+            if !fits || a.cold_since.is_some() && a.quota < 1.0 || !self.may_expose(a.build, c.lane) {
                 continue;
             }
             let ramp = self.at.ramp(now, a);
-            if a.cold_since.is_some() && a.quota < 1.0 {
-                continue;
-            }
             let trial = self.on_trial(a.build);
             let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed);
             // The build on trial gets an even share from every zone, a regressed one a trickle.
             let share = if trial { fair } else { side(a.zone) * yields };
-            let rate = self.kinds[a.kind].rate;
-            let draw = a.weight * rate * ramp * share * if regressed && trial { TRICKLE } else { 1.0 };
+            // Guards heavy commands against slow machines, which no idleness makes quick. Crowds the quick ones.
+            let Kind { rate, slower, held, .. } = self.kinds[a.kind];
+            let (quick, least) = if heavy { (slower.powi(-4), 1.0 + held.now) } else { (1.0, 0.0) };
+            let draw =
+                a.weight * rate * ramp * share * quick * if regressed && trial { TRICKLE } else { 1.0 };
             let draw = if a.cold_since.is_some() { draw * (1.0 / a.turns).clamp(1.0, all) } else { draw };
             let tried = c.deliveries.iter().any(|d| d.appliance == i);
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
@@ -620,7 +620,7 @@
                 (_, true) => 2,
                 _ => usize::from(spared),
             };
-            pool[rank].push((i, draw, self.busy(now, a) / (a.weight * rate * ramp)));
+            pool[rank].push((i, draw, self.busy(now, a).max(least) / (a.weight * rate * ramp)));
         }
         let fit = pool.iter().find(|p| !p.is_empty())?;
         let rng = self.rng.as_mut()?;
@@ -882,10 +882,10 @@
         let Some(limit) = self.load.limit else { return false };
         let density = |l: &LaneView| l.benefit / if self.at.by_work { 1.0 } else { l.least.max(1e-4) };
         let best = self.lanes.iter().map(density).fold(1e-9, f64::max);
-        let mut room = 0.8 + 0.2 * density(&self.lanes[c.lane]) / best;
         let total = self.customer_load.iter().sum::<f64>().max(1.0);
         let over = |i: usize| self.at.shares.get(i).is_some_and(|s| self.customer_load[i] > total * s * 1.15);
-        room *= if c.customer.is_some_and(over) { 0.8 } else { 1.0 };
+        let fair = if c.customer.is_some_and(over) { 0.8 } else { 1.0 };
+        let room = (0.8 + 0.2 * density(&self.lanes[c.lane]) / best) * fair;
         self.load.in_flight.saturating_sub(self.load.stuck) as f64 >= limit * room
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -175,6 +175,7 @@
     pub closed: bool,
     pub choices: Option<[usize; 2]>, // asked for their load
     pub home: Option<u64>,           // the key, where it has one
+    pub work: Option<Duration>,      // as its client hints
 }
 
 #[derive(Default)]
@@ -617,6 +618,7 @@
             closed: false,
             choices: None,
             home: None,
+            work: c.work,
         }
     }
 }
