Rare lanes borrow a baseline, and all that see a regression send back

Logged for each agent and lane: five failures of ten against an earlier build of which two or three outcomes of that lane were left, as what is from before the trial weighed a fifth. So the likelihood ratio could not reach 5.7 (judge, regressed). Change, in the verdict's own parts: a lane's baseline under 20 outcomes (KEEP) is filled up from all lanes' of the earlier build, one that never answered the lane still gates nothing; what is from before weighs half (LONG_AGO), and a fifth as before where anything fails beside the trial; where several must agree, all that see a regression send back and no longer a drawn half, and each must be surer for it (AGREED_FAILED 3, was 2.5).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,7 +19,7 @@
 const HALF_LIFE: f64 = 10.0; // seconds until evidence weighs half
 const LATE_LIFE: f64 = 2.0; // the same for what counts as of late
 const BESIDE: f64 = 3.0; // outcomes of the earlier build set against one of the trial of the same time
-const LONG_AGO: f64 = 0.2; // what its others weigh, from before the trial got its traffic
+const LONG_AGO: [f64; 2] = [0.5, 0.2]; // what its others weigh, from before; less where it fails now
 const KEEP: f64 = 20.0; // outcomes below which a baseline no longer fades
 const BACK_WEIGHT: f64 = 12.0; // failures times the seconds for which they have shown
 const BACK_FADE: f64 = 0.98; // each survey that shows none
@@ -27,7 +27,7 @@
 const PACE_FADE: f64 = 0.96; // each survey: answers of the last seconds
 const ENOUGH: f64 = 40.0; // answers that are kept of late, however few come in a second
 const AGREED: f64 = 1.0; // beyond what so many agents as must agree would say by chance
-const AGREED_FAILED: f64 = 2.5; // of failures, for each of those that must agree: few come by chance
+const AGREED_FAILED: f64 = 3.0; // of failures, for each of those that must agree: few come by chance
 const AGREED_WRONG: f64 = 1.0; // the same of wrong answers, which hardly come by chance at all
 const LEAST_FLAGS: f64 = 1.8; // two, of which one may have faded
 const GROWN: f64 = 1.2; // times the calm intake: what is slow then may be the load's
@@ -106,7 +106,6 @@
             lanes: d.lanes.iter().map(|l| LaneView::new(l, FIRST_GUESS)).collect(),
             customer_load: vec![0.0; d.customers.len()],
             beside: Beside { counts: vec![Count::default(); d.lanes.len()], ..Beside::default() },
-            votes: Votes { severe: rng.gen_bool(0.5), ..Votes::default() },
             watch_at: at.ask_within.map(|_| now + at.call_share().mul_f64(rng.gen_range(0.0..1.0))),
             rng: Some(rng),
             at,
@@ -410,8 +409,7 @@
         }
         let stage = self.news.as_ref().filter(|n| n.build == build).map_or(0, |n| n.stage);
         let open = stage >= self.at.guarded || self.lanes[lane].repeats == Repeats::Idempotent;
-        let slot = self.at.slot(lane);
-        open && self.builds.get(&build).is_some_and(|b| b.cap > 0.0 && b.tokens[slot] >= 1.0)
+        open && self.builds.get(&build).is_some_and(|b| b.cap > 0.0 && b.tokens[self.at.slot(lane)] >= 1.0)
     }
 
     fn judge(&mut self, now: Duration) {
@@ -421,15 +419,25 @@
         // Until the build has settled, a hold once placed is kept on half of what placed it.
         let age = self.builds.get(&n.build).map_or(SETTLED, |b| now.saturating_sub(b.newest));
         let ease = if was && age < SETTLED { 0.5 } else { 1.0 };
-        let many =
+        let sure =
             if self.at.jury { AGREED_FAILED + self.at.one_of.ln() } else { CERTAIN + self.at.agents.ln() };
-        let (worth, certain) = (1.0 / self.at.flagged_share.clamp(0.1, 1.0), many);
+        let worth = 1.0 / self.at.flagged_share.clamp(0.1, 1.0);
         let (mut why, mut strength) = (None, 0.0f64);
         let (trial, before) = (self.totals(n.build), self.totals(earlier));
         let (pool, base, beside) = (Count::sum(&trial), Count::sum(&before), Count::sum(&self.beside.counts));
         let lanes = trial.iter().zip(&before).zip(&self.beside.counts).chain([((&pool, &base), &beside)]);
+        // Guards, by the outcomes beside it, against troubles that meet both builds while the trial is on.
+        // May let a bad build on longer where the earlier one gets little beside it.
+        let ago = LONG_AGO[usize::from(beside.bad() + beside.flagged >= 0.5)];
+        let mut whole = base;
+        whole.mix(ago, &beside);
         for (lane, ((t, b), s)) in lanes.enumerate().filter(|_| pool.all() >= LEAST_OUTCOMES) {
-            if let Some(what) = regressed([t, b, s], worth, certain * ease, ease) {
+            let (mut thin, mut known) = (*b, whole);
+            thin.mix(ago, s);
+            // Guards rare lanes, of which little is known: all lanes fill up. One never answered gates not.
+            let lacks = b.all().min(1.0) * (KEEP - thin.all()).max(0.0) / whole.all().max(KEEP);
+            known.mix(lacks, &thin);
+            if let Some(what) = regressed([t, b, &known], worth, sure * ease, ease) {
                 strength = strength.max(t.failed + t.flagged + t.lost);
                 why = Some(format!("lane {lane} {what}, trial {t:.0?}, earlier {b:.0?}, beside {s:.0?}"));
             }
@@ -445,9 +453,8 @@
         let wrong = pool.flagged >= LEAST_FLAGS && apart > AGREED_WRONG + self.at.one_of.ln();
         let open = n.phase == Phase::Trial || n.phase == Phase::Released && age < SERVED;
         let (tallied, even) = self.tallied(n.build, earlier);
-        let tallied = tallied.filter(|_| open);
         let d = &self.drag;
-        let agreed = self.at.jury && open && (d.slow && !even || wrong) || tallied.is_some();
+        let agreed = open && (self.at.jury && (d.slow && !even || wrong) || tallied.is_some());
         if agreed || n.phase == Phase::Trial && d.alarm && !even {
             strength = if d.alarm { LEAST_FAILURES / 2.0 } else { strength };
             let slows = if wrong { "wrong answers" } else { "the fleet slows with it" };
@@ -462,15 +469,13 @@
         b.regressed = seen;
         b.shown = if seen { b.shown + strength * SURVEY.as_secs_f64() } else { b.shown * BACK_FADE };
         let lasting = seen && b.shown >= BACK_WEIGHT;
-        // A hold cannot protect from a released build, nor give back places; one long served is not refused.
-        let taken = held > BACK_SHARE * self.running().count() as f64;
+        // A hold cannot protect from a released build, nor give back places, nor spare the many agents that
+        // see too little to judge: where several must agree, all that see a regression send back.
+        let taken = self.at.in_place && held > BACK_SHARE * self.running().count() as f64;
         let verdict = match n.phase {
             _ if agreed => Some(Verdict::Back),
             Phase::Released if lasting && age < SERVED => Some(Verdict::Back),
-            Phase::Trial if lasting && self.at.in_place && taken => Some(Verdict::Back),
-            // Nor from the many agents that see too little to judge. Where several must agree to send back,
-            // half of those that see a regression say so, and the others hold.
-            Phase::Trial if seen && self.at.jury && self.votes.severe => Some(Verdict::Back),
+            Phase::Trial if seen && self.at.jury || lasting && taken => Some(Verdict::Back),
             Phase::Trial if seen => Some(Verdict::Hold),
             _ => None,
         };
@@ -487,8 +492,8 @@
         let beyond = if answers < LEAST_OUTCOMES { 0.0 } else { strange(answers, ratio / PACE_EXCUSED) };
         let sure = quick < QUICK_SHARE && beyond > AGREED + self.at.voice;
         // In place, what is still cold is missed: its load slows all.
-        let able = self.running().map(|(_, a)| self.at.ramp(now, a) - ABLE).sum::<f64>();
-        let short = self.at.in_place && able < 0.0;
+        let able = |(_, a): (usize, &Appliance)| self.at.ramp(now, a) - ABLE;
+        let short = self.at.in_place && self.running().map(able).sum::<f64>() < 0.0;
         let d = &mut self.drag;
         d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN && !short;
         d.fade(PACE_FADE);
@@ -602,7 +607,7 @@
             let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed);
             // The build on trial gets an even share from every zone, a regressed one a trickle.
             let share = if trial { fair } else { side(a.zone) * yields };
-            // Guards heavy commands against slow machines, which no idleness makes quick. Crowds the quick ones.
+            // Guards heavy commands against slow machines, quick at no load. Crowds the quick ones.
             let Kind { rate, slower, held, .. } = self.kinds[a.kind];
             let (quick, least) = if heavy { (slower.powi(-4), 1.0 + held.now) } else { (1.0, 0.0) };
             let draw =
@@ -670,8 +675,8 @@
         Duration::from_secs_f64((high * 2.0).clamp(0.1, 3.0))
     }
 
-    /// When an answer counts as lost though its appliance speaks: early only while answers are quick, as copies
-    /// slow all. Guards against ways that lose answers and slow machines; runs heavy commands twice.
+    /// When an answer counts as lost though its appliance speaks: early only where answers are quick, as
+    /// copies slow all. Guards against ways that lose answers and slow machines; runs heavy commands twice.
     fn late_after(&self, l: &LaneView) -> Duration {
         match (self.at.second_copies, self.load.limit) {
             (true, None) => Duration::from_secs_f64((l.quoted * HEDGE).max(l.usual * 1.5)),
@@ -736,8 +741,7 @@
                 a.unheard = Some(now);
                 a.strikes = 0;
             }
-            Outcome::TimedOut | Outcome::Withdrawn if !mute => {}
-            Outcome::NotSent => {}
+            o if o == Outcome::NotSent || !mute && matches!(o, Outcome::TimedOut | Outcome::Withdrawn) => {}
             _ => {
                 a.strikes += 1;
                 a.counts[lane].lost += 1.0;
@@ -912,12 +916,9 @@
 
 /// Whether the build on trial regressed a lane that the earlier build satisfies: by its share, and beyond
 /// what chance would show at any of the agents. `ease` is less where a hold stands.
-/// Guards, by the outcomes beside it, against troubles that meet both builds while the trial is on. May let a
-/// bad build on longer where the earlier one gets little beside it.
 fn regressed(of: [&Count; 3], worth: f64, least: f64, ease: f64) -> Option<&'static str> {
-    let ([t, b, beside], mut base) = (of, *of[1]);
-    base.mix(LONG_AGO, beside);
-    let strange = |of: fn(&Count) -> (f64, f64)| apart(of(t), of(&base)) > least;
+    let [t, b, base] = of;
+    let strange = |of: fn(&Count) -> (f64, f64)| apart(of(t), of(base)) > least;
     // Answers that came and failed; lost ones do not blur this baseline.
     let came = |c: &Count| (c.failed + c.flagged * worth, c.satisfied + c.failed);
     let ((bad, all), (failed, of)) = (came(t), came(b));
