--- a/crates/agent/src/commands/mod.rs
+++ b/crates/agent/src/commands/mod.rs
@@ -36,7 +36,7 @@
         /// The platform's configuration, JSON; PROXY_CONFIG otherwise.
         #[arg(long, value_name = "FILE")]
         config: Option<PathBuf>,
-        /// What this installation sets beside it, KDL: zones, budgets, door, log.
+        /// What this installation sets beside it, KDL: zones, budgets, door, log, settings to watch.
         #[arg(long, value_name = "FILE", env = "TULIPWALL_INSTALLATION")]
         installation: Option<PathBuf>,
         /// The form of log lines; the installation's otherwise, else text.
@@ -51,7 +51,7 @@
         #[arg(long, value_name = "FILE", env = "PROXY_CONFIG")]
         config: Option<PathBuf>,
     },
-    /// Print what crosses between zones, as one or more agents account for it.
+    /// Print what crosses between zones, or what a watch counts, as one or more agents account for it.
     Report(report::Ask),
     /// Start two zones, a platform, an agent and some clients on this machine, and show what crosses.
     Demo(demo::Show),
--- a/crates/agent/src/commands/report.rs
+++ b/crates/agent/src/commands/report.rs
@@ -3,12 +3,14 @@
 use super::{plot, NO_REPORT};
 use clap::Args;
 use comfy_table::{presets, CellAlignment, Table};
+use serde_json::{Map, Value};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use tulipwall::Otherwise;
 use tulipwall_deployment::Door;
 use tulipwall_zones::{BudgetLine, Document, Line, LinkLine};
 
@@ -30,10 +32,16 @@
     /// A row for each build.
     #[arg(long)]
     builds: bool,
+    /// Where the watched settings would have decided otherwise, instead of what crosses.
+    #[arg(long, conflicts_with_all = ["svg", "builds"])]
+    watch: bool,
 }
 
 impl Ask {
     pub fn print(self) -> ExitCode {
+        if self.watch {
+            return self.print_watch();
+        }
         let (mut document, mut missing) = (None::<Document>, false);
         for door in &self.doors {
             match ask(door) {
@@ -65,6 +73,64 @@
             Ok(()) => ExitCode::SUCCESS,
         }
     }
+
+    /// The counts of each agent's watch, and of all.
+    fn print_watch(&self) -> ExitCode {
+        let mut told = Vec::new();
+        for door in &self.doors {
+            match counts(door) {
+                Ok(counts) => told.push((name(door), counts)),
+                Err(what) => eprintln!("{}: {what}", name(door)),
+            }
+        }
+        let whole = told.len() == self.doors.len();
+        if told.len() > 1 {
+            let mut all = Otherwise::default().named();
+            for (_, counts) in &told {
+                all.iter_mut().zip(counts).for_each(|(sum, (_, n))| sum.1 = sum.1.saturating_add(*n));
+            }
+            told.push(("all".to_owned(), all));
+        }
+        if self.json {
+            let told: Map<_, _> = told.into_iter().map(|(door, c)| (door, object(&c))).collect();
+            println!("{:#}", Value::Object(told));
+        } else if let Some((_, first)) = told.first() {
+            let mut table = table(&[&["door"][..], &first.map(|(kind, _)| kind)].concat());
+            for (door, counts) in &told {
+                table.add_row([vec![door.clone()], counts.map(|(_, n)| n.to_string()).to_vec()].concat());
+            }
+            println!("{table}");
+        }
+        if whole {
+            ExitCode::SUCCESS
+        } else {
+            NO_REPORT.into()
+        }
+    }
+}
+
+type Counts = [(&'static str, u64); 5];
+
+fn object(counts: &Counts) -> Value {
+    Value::Object(counts.iter().map(|(kind, n)| ((*kind).to_owned(), (*n).into())).collect())
+}
+
+/// The counts of the watch behind a door.
+fn counts(door: &Door) -> Result<Counts, String> {
+    let mut counts = Otherwise::default().named();
+    let mut told = false;
+    get(door, "/watch", |line| {
+        let line: Value = serde_json::from_str(line).map_err(|e| format!("a line that is no report: {e}"))?;
+        for (kind, n) in &mut counts {
+            *n = line
+                .get(*kind)
+                .and_then(Value::as_u64)
+                .ok_or_else(|| format!("it does not count '{kind}'"))?;
+        }
+        told = true;
+        Ok(())
+    })?;
+    told.then_some(counts).ok_or_else(|| "the report stops short of its end".into())
 }
 
 fn name(door: &Door) -> String {
@@ -76,25 +142,44 @@
 
 /// The whole report behind a door.
 pub fn ask(door: &Door) -> Result<Document, String> {
+    let mut document = Document::default();
+    get(door, "/zones", |line| {
+        let line: Line = serde_json::from_str(line).map_err(|e| format!("a line that is no report: {e}"))?;
+        document.take(line)
+    })?;
+    if document.is_whole() {
+        Ok(document)
+    } else {
+        Err("the report stops short of its end".into())
+    }
+}
+
+/// Asks a door for this, and hands on what it says line by line.
+fn get(door: &Door, path: &str, each: impl FnMut(&str) -> Result<(), String>) -> Result<(), String> {
     match door {
         Door::Tcp(address) => {
             let stream = TcpStream::connect_timeout(address, WITHIN).map_err(|e| e.to_string())?;
             let limited = stream.set_read_timeout(Some(WITHIN)).and(stream.set_write_timeout(Some(WITHIN)));
             limited.map_err(|e| e.to_string())?;
-            read(stream)
+            read(stream, path, each)
         }
-        Door::Unix(path) => {
-            let stream = UnixStream::connect(path).map_err(|e| e.to_string())?;
+        Door::Unix(file) => {
+            let stream = UnixStream::connect(file).map_err(|e| e.to_string())?;
             let limited = stream.set_read_timeout(Some(WITHIN)).and(stream.set_write_timeout(Some(WITHIN)));
             limited.map_err(|e| e.to_string())?;
-            read(stream)
+            read(stream, path, each)
         }
     }
 }
 
-fn read(mut stream: impl Read + Write) -> Result<Document, String> {
+fn read(
+    mut stream: impl Read + Write,
+    path: &str,
+    mut each: impl FnMut(&str) -> Result<(), String>,
+) -> Result<(), String> {
     let broken = |e: io::Error| e.to_string();
-    stream.write_all(b"GET /zones HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n").map_err(broken)?;
+    let asked = format!("GET {path} HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n");
+    stream.write_all(asked.as_bytes()).map_err(broken)?;
     let mut lines = BufReader::new(stream.take(MOST)).lines();
     let status = lines.next().ok_or("it closed without a word")?.map_err(broken)?;
     for head in lines.by_ref() {
@@ -106,17 +191,7 @@
         let why = lines.next().and_then(Result::ok).unwrap_or_default();
         return Err(format!("{status}: {why}"));
     }
-    let mut document = Document::default();
-    for line in lines {
-        let line = line.map_err(broken)?;
-        let line: Line = serde_json::from_str(&line).map_err(|e| format!("a line that is no report: {e}"))?;
-        document.take(line)?;
-    }
-    if document.is_whole() {
-        Ok(document)
-    } else {
-        Err("the report stops short of its end".into())
-    }
+    lines.try_for_each(|line| each(&line.map_err(broken)?))
 }
 
 /// The account as tables for people.
--- a/crates/agent/src/door.rs
+++ b/crates/agent/src/door.rs
@@ -1,9 +1,10 @@
-//! The operators' door: the account of what crosses, on an address that only this machine reaches.
+//! The operators' door: the account of what crosses and the watch's counts, on an address that only this machine
+//! reaches.
 //!
 //! It speaks as much of HTTP/1.1 as it takes to be asked by a browser or by `tulipwall-agent report`: `GET
-//! /zones` is answered by lines of JSON, the last of which says that it is the last. Nothing it does may slow a
-//! command: one line is made and written at a time, others have their turn between two, and a reader that does
-//! not read is dropped.
+//! /zones` is answered by lines of JSON, the last of which says that it is the last, `GET /watch` by one. Nothing
+//! it does may slow a command: one line is made and written at a time, others have their turn between two, and a
+//! reader that does not read is dropped.
 
 use crate::agent::Agent;
 use crate::reactor::{Source, Timer};
@@ -166,10 +167,13 @@
     let mut words = question.split(' ');
     let (method, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
     let path = path.split('?').next().unwrap_or_default();
+    let watched = agent.hand.otherwise();
     let refusal = match (method, path) {
         ("GET", "/zones") if agent.border.watches() => None,
         ("GET", "/zones") => Some(("404 Not Found", "the installation says nothing of zones")),
-        ("GET", _) => Some(("404 Not Found", "known is /zones")),
+        ("GET", "/watch") if watched.is_some() => None,
+        ("GET", "/watch") => Some(("404 Not Found", "the installation names no settings to watch")),
+        ("GET", _) => Some(("404 Not Found", "known are /zones and /watch")),
         _ => Some(("405 Method Not Allowed", "only GET is known")),
     };
     if let Some((status, why)) = refusal {
@@ -178,6 +182,11 @@
     }
     let head = "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nConnection: close\r\n\r\n";
     write(reader, head.as_bytes()).await?;
+    if let Some(counts) = watched.filter(|_| path == "/watch") {
+        let line: serde_json::Map<_, _> =
+            counts.named().map(|(k, n)| (k.to_owned(), n.into())).into_iter().collect();
+        return write(reader, format!("{}\n", serde_json::Value::Object(line)).as_bytes()).await;
+    }
     let mut place = Place::default();
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let now = agent.clock.now();
--- a/crates/agent/tests/watch.rs
+++ b/crates/agent/tests/watch.rs
@@ -1,6 +1,8 @@
 //! Watching the settings of another shape: it decides as before, and what it counts matches the stand-ins.
 
 use rustix::process::Signal;
+use serde_json::Value;
+use std::process::Command;
 use std::time::Duration;
 use tulipwall_standins::ground::until;
 use tulipwall_standins::*;
@@ -22,7 +24,9 @@
     }
     world.platform.news(platform::News::now(42, 0, "trial", 0.5));
     let file = std::env::temp_dir().join(format!("tulipwall-watch-{}.kdl", std::process::id()));
-    std::fs::write(&file, "watch {\n    guarded-stages 1\n    cold-for \"3s\"\n}\n").unwrap();
+    let door = file.with_extension("door").to_str().unwrap().to_owned();
+    let shape = "watch {\n    guarded-stages 1\n    cold-for \"3s\"\n}\n";
+    std::fs::write(&file, format!("door \"unix:{door}\"\n{shape}")).unwrap();
     let configuration = world.configuration("n1", 0).unwrap();
     let program =
         Program::start(BINARY, configuration, &["run", "--installation", file.to_str().unwrap()]).unwrap();
@@ -49,12 +53,25 @@
     assert!(counted(&log, "guarded").unwrap().abs_diff(with_effect) <= 2, "{with_effect} seen; {log}");
     assert!(counted(&log, "deliveries").unwrap().abs_diff(all as u64) <= 2, "{all} seen; {log}");
     assert_eq!((counted(&log, "exposure"), counted(&log, "key")), (Some(0), Some(0)), "not watched: {log}");
+    // The report command tells the same.
+    let report = || {
+        let door = format!("unix:{door}");
+        let out = Command::new(BINARY).args(["report", "--watch", "--json", &door]).output().unwrap();
+        (out.status.code(), serde_json::from_slice::<Value>(&out.stdout).map(|v| v[&door].clone()))
+    };
+    let (code, told) = report();
+    let told = told.unwrap();
+    assert_eq!(code, Some(0));
+    for kind in ["deliveries", "guarded", "exposure", "cold", "key"] {
+        assert_eq!(told[kind].as_u64(), counted(&log, kind), "{kind}: {told}");
+    }
     // The way back: a file without the watch, and a signal.
-    std::fs::write(&file, "log \"text\"\n").unwrap();
+    std::fs::write(&file, format!("door \"unix:{door}\"\n")).unwrap();
     program.signal(Signal::HUP).unwrap();
     assert!(until(|| program.log().contains("a new configuration")));
     program.signal(Signal::USR1).unwrap();
     let last = |log: &str| log.lines().rev().find(|l| l.contains("kept:")).map(str::to_owned);
     assert!(until(|| last(&program.log()).is_some_and(|l| !l.contains("watched:"))), "{}", program.log());
+    assert_eq!(report().0, Some(3), "nothing is watched any longer");
     let _ = std::fs::remove_file(file);
 }
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -1,5 +1,5 @@
-//! Counts, by kind, where the settings of another shape would have decided otherwise, while the present ones decide.
-//! It decides nothing, and what only chance would have told apart is not counted.
+//! Counts, by kind, where the settings of another shape would have decided otherwise, while the present ones
+//! decide. It decides nothing, and what only chance would have told apart is not counted.
 
 use crate::choice::Choice;
 use crate::state::{rendezvous, Appliance};
@@ -36,10 +36,24 @@
     pub key: u64,
 }
 
+impl Otherwise {
+    /// The counts by name, the deliveries that were looked at first.
+    pub fn named(&self) -> [(&'static str, u64); 5] {
+        let Otherwise { deliveries, guarded, exposure, cold, key } = *self;
+        [
+            ("deliveries", deliveries),
+            ("guarded", guarded),
+            ("exposure", exposure),
+            ("cold", cold),
+            ("key", key),
+        ]
+    }
+}
+
 impl std::fmt::Display for Otherwise {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        let Otherwise { deliveries, guarded, exposure, cold, key } = self;
-        write!(f, "deliveries {deliveries} guarded {guarded} exposure {exposure} cold {cold} key {key}")
+        let counts = self.named().map(|(name, n)| format!("{name} {n}"));
+        f.write_str(&counts.join(" "))
     }
 }
 
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -263,3 +263,84 @@
     assert_eq!(same, Otherwise { deliveries: same.deliveries, ..Otherwise::default() });
     assert!(other.guarded > 10 && other.exposure > 10 && other.key > 100, "{other}");
 }
+
+fn satisfied(took: u64, held: Option<f64>) -> End {
+    End { outcome: Outcome::Satisfied, took: ms(took), closed: true, held }
+}
+
+fn plain(agents: u32) -> Choice {
+    Choice::new(ms(1000), Deployment { warm_keys: false, probes: false, ..shape(7, agents) })
+}
+
+/// Against copies that slow all where there is no room: an agent of hundreds has one or two commands out, far under
+/// any bound of its own. Harms a command on a slow machine in a rush, which waits longer for its copy.
+#[test]
+fn no_early_second_copy_goes_out_while_answers_are_not_quick() {
+    let copied = |took: u64| {
+        let mut choice = plain(300);
+        choice.list(ms(1000), &entries(0..10, 1, None), true);
+        for id in 0..200 {
+            let now = ms(1000 + id * 100);
+            choice.wait(now);
+            sent(&mut choice, now, id, 0, id).unwrap();
+            choice.after(now + ms(took), id, 0, satisfied(took, None));
+        }
+        choice.wait(ms(21_500));
+        sent(&mut choice, ms(21_500), 1000, 0, 1).unwrap();
+        (216..219).for_each(|t| drop(choice.wait(ms(t * 100))));
+        matches!(choice.place(ms(21_830), 1000), Answer::Send { .. })
+    };
+    assert!(copied(40), "quick answers leave room to ask again");
+    assert!(!copied(200));
+}
+
+/// Against heavy commands on slow machines that happen to be idle. Harms nothing where kinds are alike or no hint comes.
+#[test]
+fn commands_with_a_heavy_hint_go_to_the_quicker_kind() {
+    let mut choice = plain(300);
+    choice.list(ms(1000), &entries(0..20, 1, None), true);
+    let mut slow = [0, 0];
+    for id in 0..2400 {
+        let (now, heavy) = (ms(1000 + id * 20), id % 2 == 1);
+        choice.wait(now);
+        let work = Some(ms(if heavy { 200 } else { 20 }));
+        choice.take(now, id, Command { work, ..command(0, id) });
+        let Answer::Send { appliance, .. } = choice.place(now, id) else { panic!("nothing is in the way") };
+        choice.after(now, id, 0, satisfied(if appliance % 2 == 0 { 40 } else { 80 }, Some(2.0)));
+        slow[usize::from(heavy)] += usize::from(id > 400 && appliance % 2 == 1);
+    }
+    assert!(slow[0] > 60 && slow[1] < 30, "of 1000 each: {slow:?}");
+}
+
+/// Against a bad build whose one failing lane is rare: too few outcomes of the earlier build are left to set it against.
+/// Harms a lane that the earlier build failed as badly and hardly ever had.
+#[test]
+fn a_rare_lane_that_fails_is_sent_back_by_what_is_known_of_all_lanes() {
+    let voted = |known: u64, fails: bool| {
+        let mut d = shape(13, 120);
+        (d.rollout.back_votes, d.rollout.tallied, d.warm_keys, d.probes) = (4, false, false, false);
+        let mut w = World::new(d);
+        w.list(&entries(0..10, 7, None));
+        w.serve(120, 0, ms(40), |_| Outcome::Satisfied);
+        w.serve(known, 2, ms(40), |_| Outcome::Satisfied);
+        w.list(&entries(10..16, 8, Some(3000)));
+        w.news(trial(8, 2, 1.0));
+        w.pass(ms(4500));
+        w.list(
+            &(0..10)
+                .map(|i| Listed { standing: Standing::Draining, ..listed(i, 7, None) })
+                .collect::<Vec<_>>(),
+        );
+        w.serve(40, 0, ms(40), |_| Outcome::Satisfied);
+        w.serve(
+            9,
+            2,
+            ms(40),
+            |e| if fails && e.appliance != 12 { Outcome::Failed } else { Outcome::Satisfied },
+        );
+        w.votes.iter().any(|v| v.1.verdict == Verdict::Back)
+    };
+    assert!(voted(4, true));
+    assert!(!voted(4, false), "nothing fails");
+    assert!(!voted(0, true), "a lane that was never answered does not gate");
+}
