--- a/src/choice.rs
+++ b/src/choice.rs
@@ -106,6 +106,7 @@
             lanes: d.lanes.iter().map(|l| LaneView::new(l, FIRST_GUESS)).collect(),
             customer_load: vec![0.0; d.customers.len()],
             beside: Beside { counts: vec![Count::default(); d.lanes.len()], ..Beside::default() },
+            votes: Votes { severe: rng.gen_bool(0.5), ..Votes::default() },
             watch_at: at.ask_within.map(|_| now + at.call_share().mul_f64(rng.gen_range(0.0..1.0))),
             rng: Some(rng),
             at,
@@ -469,13 +470,16 @@
         b.regressed = seen;
         b.shown = if seen { b.shown + strength * SURVEY.as_secs_f64() } else { b.shown * BACK_FADE };
         let lasting = seen && b.shown >= BACK_WEIGHT;
-        // A hold cannot protect from a released build, nor give back places, nor spare the many agents that
-        // see too little to judge: where several must agree, all that see a regression send back.
+        // A hold cannot protect from a released build, nor give back places, nor spare many small agents:
+        // where several must agree, half of them send back at once, the others once their hold stands.
         let taken = self.at.in_place && held > BACK_SHARE * self.running().count() as f64;
+        let held_first = self.votes.standing.as_ref().is_some_and(|(v, _)| v.build == n.build);
         let verdict = match n.phase {
             _ if agreed => Some(Verdict::Back),
             Phase::Released if lasting && age < SERVED => Some(Verdict::Back),
-            Phase::Trial if seen && self.at.jury || lasting && taken => Some(Verdict::Back),
+            Phase::Trial if seen && self.at.jury && (self.votes.severe || held_first) || lasting && taken => {
+                Some(Verdict::Back)
+            }
             Phase::Trial if seen => Some(Verdict::Hold),
             _ => None,
         };
@@ -574,8 +578,7 @@
         let idempotent = repeats == Repeats::Idempotent;
         let bound = c.key.and_then(|k| self.bound.get(&k)).copied().unwrap_or(0);
         let lasts = |n: &&News| bound >= n.build && matches!(n.phase, Phase::Trial | Phase::Released);
-        let kept = self.news.as_ref().filter(lasts);
-        let floor = kept.map_or(0, |n| n.build);
+        let floor = self.news.as_ref().filter(lasts).map_or(0, |n| n.build);
         let side = |zone: usize| match self.crossings.zones.get(zone) {
             Some(Crossing { draw: Some(draw), .. }) => *draw,
             _ if zone == self.at.zone => 1.0,
@@ -895,13 +898,10 @@
 
     fn give_up(&mut self, id: u64) -> Answer {
         let Some(c) = self.commands.get(&id) else { return Answer::Wait };
-        let harmless = c.harmless(self.lanes[c.lane].repeats);
+        let deny = Answer::Deny { come_back: self.at.come_back.map(|most| most.min(COME_BACK)) };
+        let answer = if c.harmless(self.lanes[c.lane].repeats) { deny } else { Answer::Scrap };
         self.left(id);
-        let come_back = self.at.come_back.map(|most| most.min(COME_BACK));
-        match harmless {
-            true => Answer::Deny { come_back },
-            false => Answer::Scrap,
-        }
+        answer
     }
 
     pub fn left(&mut self, id: u64) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,7 @@
     pub want: Option<Vote>,
     pub standing: Option<(Vote, Duration)>,
     pub pending: Option<(Vote, Duration)>,
+    pub severe: bool, // sends back where others only hold
     pub at: Duration,
     pub gap: Duration,
 }
