--- a/crates/zones/benches/agent/mod.rs
+++ b/crates/zones/benches/agent/mod.rs
@@ -20,6 +20,7 @@
     lanes: usize,
     pub choice: Choice,
     zones: Option<Zones>,
+    watch: Option<Watch>,
     build: u32,
     of_zone: usize,
 }
@@ -58,7 +59,15 @@
             routing: Routing::NearFirst,
         };
         let zones_told = zoned.then(|| Zones::new(now, zoning));
-        Agent { now, id: 0, lanes, choice, zones: zones_told, build: 41, of_zone: zones }
+        Agent { now, id: 0, lanes, choice, zones: zones_told, watch: None, build: 41, of_zone: zones }
+    }
+
+    /// Watches settings of another shape beside.
+    #[allow(dead_code)] // `examples/measure.rs` has no use for it
+    pub fn watched(zones: usize, lanes: usize, appliances: usize) -> Agent {
+        let shape = Shape { guarded_stages: Some(1), warm_keys: Some(true), ..Shape::default() };
+        let watch = Some(Watch::new(&deployment(lanes), &shape));
+        Agent { watch, ..Agent::new(zones, lanes, appliances, false) }
     }
 
     /// One command from its coming to its answer, at 3,000 a second.
@@ -75,7 +84,13 @@
             id,
             Command { lane, customer: None, key: Some(id), left: ms(1500), work: None, again: false },
         );
+        if let Some(w) = &mut self.watch {
+            w.take(&self.choice, lane);
+        }
         if let Answer::Send { appliance, .. } = self.choice.place(now, id) {
+            if let Some(w) = &mut self.watch {
+                w.sent(now, &self.choice, lane, Some(id), appliance);
+            }
             let to = appliance % self.of_zone;
             let sending = Sending {
                 to,
--- a/crates/zones/benches/decision.rs
+++ b/crates/zones/benches/decision.rs
@@ -1,4 +1,5 @@
-//! What one command costs in decisions: taken, placed, its outcome told, without zones and with them.
+//! What one command costs in decisions: taken, placed, its outcome told, without zones and with them, and
+//! with other settings watched.
 //!
 //!     cargo bench -p tulipwall-zones
 
@@ -24,6 +25,9 @@
             (0..6000).for_each(|_| agent.command());
             group.bench_function(name, |b| b.iter(|| (0..EACH).for_each(|_| agent.command())));
         }
+        let mut agent = Agent::watched(zones, lanes, appliances);
+        (0..6000).for_each(|_| agent.command());
+        group.bench_function("with a watch", |b| b.iter(|| (0..EACH).for_each(|_| agent.command())));
         group.finish();
     }
 }
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -344,3 +344,26 @@
     assert!(!voted(4, false), "nothing fails");
     assert!(!voted(0, true), "a lane that was never answered does not gate");
 }
+
+/// Against lanes with an effect that would follow the room to the trial while a stage is guarded and the earlier
+/// appliances grow fewer. Harms them: what the last ones cannot take is denied.
+#[test]
+fn a_guarded_stage_exposes_no_lane_with_an_effect_however_few_earlier_appliances_are_left() {
+    let mut w = World::new(Deployment { warm_keys: false, probes: false, ..shape(17, 120) });
+    w.list(&entries(0..6, 7, None));
+    (0..3).for_each(|lane| w.serve(40, lane, ms(20), |_| Outcome::Satisfied));
+    w.list(&entries(6..12, 8, Some(3000)));
+    w.news(trial(8, 0, 0.3));
+    w.pass(ms(4500));
+    let before = w.held.len() as u64;
+    for left in (1..6).rev() {
+        w.list(&[Listed { standing: Standing::Draining, ..listed(left, 7, None) }]);
+        (0..3).for_each(|lane| w.serve(20, lane, ms(20), |_| Outcome::Satisfied));
+    }
+    let at_trial = |lane| {
+        let of_lane = w.held.range(before..).filter(|(_, h)| h.lane == lane);
+        of_lane.flat_map(|(_, h)| &h.deliveries).filter(|d| d.appliance >= 6).count()
+    };
+    assert_eq!((at_trial(1), at_trial(2)), (0, 0));
+    assert!(at_trial(0) > 10, "idempotent commands show what the build does: {}", at_trial(0));
+}
