A silent watch on the list is noticed within 1.25 s and begun anew at once

To blame: HOLD and OVERDUE in crates/agent/src/discovery.rs, which give a watch up just when what it misses counts as told, and the gap of Choice::list_failed (175 to 325 ms) on top of it.

A pure module, vigil, says how long a call may wait, when it is silent and when to call anew. Where lists are pushed calls are free: waits of 1 s, silence after 250 ms more, then tries of 100 ms beside one of 2 s until one is answered. Where they are asked for, waits follow from the agents' number and the platform's rate, with a part by chance, silence counts after 500 ms, and the first call after it goes out at once; further ones are spread by the module as before.

--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -1,26 +1,46 @@
-//! The watch on discovery's list. The module says when to ask; here it is kept alive while it holds.
+//! The watch on discovery's list. The module says when to ask first; here it is kept alive, and begun anew as
+//! `vigil` says.
 
 use crate::agent::Agent;
+use crate::vigil::{Ended, Vigil};
 use crate::wire::connection::Connection;
 use crate::wire::listing::{self, Listing};
-use crate::wire::{http, malformed, Malformed};
+use crate::wire::{http, Malformed};
 use futures_lite::FutureExt;
+use std::future::Future;
 use std::time::Duration;
 
-/// How long discovery may hold a watch without news: what it has to tell is overdue 2 s later.
-const HOLD: Duration = Duration::from_secs(20);
-/// The same for the first call of a watch, which should show soon whether discovery is there.
-const FIRST_HOLD: Duration = Duration::from_secs(1);
-const OVERDUE: Duration = Duration::from_secs(2);
 /// How soon the rest of an answer that has begun must come.
 const REST_WITHIN: Duration = Duration::from_millis(500);
 
+/// How a watch ended, and what there is to say of it.
+struct End(Ended, String);
+
+impl From<Malformed> for End {
+    fn from(what: Malformed) -> End {
+        End(Ended::Spoilt, what.0)
+    }
+}
+
+fn broken(e: std::io::Error) -> End {
+    End(Ended::Broken, e.to_string())
+}
+
+/// What was told, and whether the connection ends with it.
+type Told = (Listing, bool);
+
 pub async fn run(agent: &Agent) {
-    let (mut moves, mut owes) = (agent.moves(), false);
+    let (mut moves, mut owes, mut again) = (agent.moves(), false, None);
+    let (mut vigil, mut away) = (Vigil::new(&agent.site.deployment), None);
     loop {
         let due = async {
-            while !agent.watch_due.take() {
-                agent.watch.listen().await;
+            match again {
+                Some(at) => agent.until(at).await,
+                None => {
+                    while !agent.watch_due.take() {
+                        agent.watch.listen().await;
+                    }
+                }
             }
         };
         due.or(agent.moved(moves)).await;
@@ -28,14 +48,22 @@
         moves = agent.moves();
         let moved = async {
             agent.moved(moves).await;
-            malformed("its address has changed")
+            None
         };
         // A change of the address ends the old watch and is no failure: the whole list is asked for at once.
-        if let Err(what) = moved.or(watch(agent, &mut owes)).await {
-            log::debug!("discovery: {what}");
+        let ended = moved.or(async { Some(watch(agent, &mut vigil, &mut owes, &mut away).await) }).await;
+        let Some(End(ended, what)) = ended else { continue };
+        if ended == Ended::Silent {
+            agent.counters.list_silences.add();
+        }
+        if away.is_none() {
+            log::warn!("discovery: {what}; it is asked anew");
+            away = Some(agent.clock.now());
         }
-        if agent.moves() == moves {
-            agent.hand.list_failed();
+        again = vigil.again(ended).map(|gap| agent.clock.now() + gap);
+        match again {
+            Some(_) => agent.counters.list_failures.add(),
+            None => agent.hand.list_failed(),
         }
     }
 }
@@ -43,48 +71,77 @@
 /// What has changed since the list that is known, for as long as the connection holds; the whole list first
 /// where none is known or discovery is another. Guards against agents that start or call again all at once: a
 /// list has as many lines as there are appliances, and discovery pays for each. `owes` while it was not yet heard
-/// at its new address.
-async fn watch(agent: &Agent, owes: &mut bool) -> Result<(), Malformed> {
-    let mut connection = within(agent, OVERDUE, async {
-        Connection::open(agent.discovery.get()).await.map_err(|e| Malformed(e.to_string()))
-    })
-    .await?;
-    let (mut path, mut wait) = match agent.known() {
-        Some(version) if !*owes => (listing::watch(version, FIRST_HOLD.as_millis() as u64), FIRST_HOLD),
-        _ => (listing::LIST.to_owned(), Duration::ZERO),
+/// at its new address, `away` since when it has not been heard.
+async fn watch(agent: &Agent, vigil: &mut Vigil, owes: &mut bool, away: &mut Option<Duration>) -> End {
+    let wait = vigil.wait(true);
+    let path = match agent.known() {
+        Some(version) if !*owes => listing::watch(version, wait),
+        _ => listing::LIST.to_owned(),
+    };
+    let (quick, patient) = (wait + vigil.within(false), wait + vigil.within(true));
+    let begun = match vigil.free() {
+        true => over(agent, vigil, &path, quick).or(begin(agent, &path, patient)).await,
+        false => begin(agent, &path, patient).await,
+    };
+    let (mut connection, (mut told, mut last)) = match begun {
+        Ok(begun) => begun,
+        Err(end) => return end,
     };
     loop {
-        let told = within(agent, wait + OVERDUE, ask(agent, &mut connection, &path)).await?;
         agent.listed(told);
+        vigil.told();
+        if let Some(since) = away.take() {
+            log::info!("discovery: heard again after {:.1?}", agent.clock.now().saturating_sub(since));
+        }
         if std::mem::take(owes) {
             agent.life.heard();
         }
-        wait = HOLD;
-        path = listing::watch(agent.version(), HOLD.as_millis() as u64);
+        if last {
+            return End(Ended::Broken, "it closes after an answer".into());
+        }
+        let wait = vigil.wait(false);
+        let path = listing::watch(agent.version(), wait);
+        match within(agent, wait + vigil.late(), ask(agent, &mut connection, &path)).await {
+            Ok(next) => (told, last) = next,
+            Err(end) => return end,
+        }
     }
 }
 
-async fn ask(agent: &Agent, connection: &mut Connection, path: &str) -> Result<Listing, Malformed> {
-    let broken = |e: std::io::Error| Malformed(e.to_string());
+/// A connection and its first answer.
+async fn begin(agent: &Agent, path: &str, time: Duration) -> Result<(Connection, Told), End> {
+    let begun = async {
+        let mut connection = Connection::open(agent.discovery.get()).await.map_err(broken)?;
+        let told = ask(agent, &mut connection, path).await?;
+        Ok((connection, told))
+    };
+    within(agent, time, begun).await
+}
+
+/// The same over and over, without an end of its own.
+async fn over(agent: &Agent, vigil: &Vigil, path: &str, time: Duration) -> Result<(Connection, Told), End> {
+    loop {
+        match begin(agent, path, time).await {
+            Err(End(ended, _)) => agent.until(agent.clock.now() + vigil.gap(ended)).await,
+            begun => return begun,
+        }
+    }
+}
+
+async fn ask(agent: &Agent, connection: &mut Connection, path: &str) -> Result<Told, End> {
     connection.write(&http::get(&agent.discovery.get().to_string(), path)).await.map_err(broken)?;
     let mut ended = false;
     loop {
         if let Some(answer) = http::answer(connection.inbox.unread(), ended)? {
             connection.inbox.consume(answer.took);
             if answer.status != 200 {
-                return malformed(format!("status {}", answer.status));
-            }
-            let listing = Listing::parse(&answer.body)
-                .inspect_err(|e| log::warn!("discovery: {e}; its connection is closed"))?;
-            if answer.last {
-                // The connection does not go on: this much is told, the watch begins anew.
-                agent.listed(listing);
-                return malformed("it closes after an answer");
+                return Err(End(Ended::Broken, format!("status {}", answer.status)));
             }
-            return Ok(listing);
+            // Where the connection does not go on, this much is told, and the watch begins anew.
+            return Ok((Listing::parse(&answer.body)?, answer.last));
         }
         if ended {
-            return malformed("it ended within an answer");
+            return Err(End(Ended::Broken, "it ended within an answer".into()));
         }
         // Guards against an answer that stops short of its end, which would be waited for as long as a watch.
         let begun = !connection.inbox.is_empty();
@@ -97,11 +154,11 @@
 async fn within<T>(
     agent: &Agent,
     time: Duration,
-    work: impl std::future::Future<Output = Result<T, Malformed>>,
-) -> Result<T, Malformed> {
+    work: impl Future<Output = Result<T, End>>,
+) -> Result<T, End> {
     let late = async {
         agent.until(agent.clock.now() + time).await;
-        malformed("it is silent")
+        Err(End(Ended::Silent, "it is silent".into()))
     };
     work.or(late).await
 }
--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -38,6 +38,7 @@
     pub ended: [Count; 8],
     pub lists: Count,
     pub list_failures: Count,
+    pub list_silences: Count, // watches that fell silent, and calls without an answer
     pub news: Count,
     pub votes: Count,
     pub platform_ends: Count,
@@ -80,7 +81,8 @@
         write!(f, "; connections: opened {} reused {} ", n(&self.opened), n(&self.reused))?;
         write!(f, "spoilt {} unasked {} ", n(&self.spoilt), n(&self.unasked))?;
         write!(f, "found_closed {}; lists: told {} ", n(&self.gone_idle), n(&self.lists))?;
-        write!(f, "failed {}; platform: news {} ", n(&self.list_failures), n(&self.news))?;
+        write!(f, "failed {} silent {}; ", n(&self.list_failures), n(&self.list_silences))?;
+        write!(f, "platform: news {} ", n(&self.news))?;
         write!(f, "votes {} ended {}", n(&self.votes), n(&self.platform_ends))?;
         write!(f, "; door: dropped {}", n(&self.door_dropped))
     }
--- /dev/null
+++ b/crates/agent/src/vigil.rs
@@ -0,0 +1,121 @@
+//! When the watch on discovery's list counts as silent, and when discovery is called again. Pure: it is told what
+//! the settings say and what happened, and says spans.
+//!
+//! What a watch that has fallen silent misses counts as told 6 s after it fell silent, or 2 s after the wait of its
+//! call where that is later, whether it came or not. So silence is noticed, and the list asked for anew with some
+//! tries to spare, before either.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+use tulipwall::Deployment;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Where lists are pushed, calls cost nothing and are answered at once from this machine: a short wait is free.
+const PUSHED_WAIT: Duration = ms(1000);
+const PUSHED_LATE: Duration = ms(250);
+/// A try that should be answered at once, and one for connections that come up late. Both are under way while
+/// discovery is away, so that it is heard within the first one's time and gap after its return.
+const QUICK: Duration = ms(100);
+const PATIENT: Duration = ms(2000);
+const GAP: Duration = ms(50);
+/// An answer that cannot be read costs time to read: it is not asked for as often.
+const SPOILT_GAP: Duration = ms(200);
+
+/// Where lists are asked for, each call is paid for by all: the wait is so many times the span in which the
+/// platform's rate allows one call of each agent, within these.
+const ASKED_SHARES: u32 = 4;
+const ASKED_WAIT: [Duration; 2] = [ms(2000), ms(20_000)];
+/// The same for the first call of a watch, which should show soon whether discovery is there.
+const ASKED_FIRST: Duration = ms(1000);
+/// Leaves three quarters of the 2 s for calling anew.
+const ASKED_LATE: Duration = ms(500);
+/// The part of a wait that is left to chance, so that agents whose watches fall silent together call apart.
+const ASKED_CHANCE: f64 = 0.5;
+
+/// How a watch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// No answer came in time.
+    Silent,
+    /// Its connection ended, never came up, or was refused.
+    Broken,
+    /// What came could not be read.
+    Spoilt,
+}
+
+pub struct Vigil {
+    pushed: bool,
+    longest: Duration, // wait of a call
+    rng: Pcg64Mcg,
+    told: bool, // since the last call that failed
+}
+
+impl Vigil {
+    pub fn new(d: &Deployment) -> Vigil {
+        let each = Duration::from_secs_f64(f64::from(d.agents) / d.rollout.votes_per_s.max(0.001));
+        let [least, most] = ASKED_WAIT;
+        let most = most.min(d.ask_within).max(least);
+        let longest = if d.list_shared { (each * ASKED_SHARES).clamp(least, most) } else { PUSHED_WAIT };
+        Vigil { pushed: !d.list_shared, longest, rng: Pcg64Mcg::seed_from_u64(d.seed), told: false }
+    }
+
+    /// Calls are free: the list is asked for at once, and again and again while no answer comes.
+    pub fn free(&self) -> bool {
+        self.pushed
+    }
+
+    /// How long the next call may wait for news; `first` of its connection.
+    pub fn wait(&mut self, first: bool) -> Duration {
+        match (self.pushed, first) {
+            (true, true) => Duration::ZERO,
+            (true, false) => self.longest,
+            (false, true) => ASKED_FIRST,
+            (false, false) => self.longest.mul_f64(1.0 - self.rng.gen_range(0.0..ASKED_CHANCE)),
+        }
+    }
+
+    /// How long after its wait an answer may still come.
+    pub fn late(&self) -> Duration {
+        if self.pushed {
+            PUSHED_LATE
+        } else {
+            ASKED_LATE
+        }
+    }
+
+    /// How long a first call may take, with its connection and without its wait, by which of the two tries.
+    pub fn within(&self, patient: bool) -> Duration {
+        match (self.pushed, patient) {
+            (true, false) => QUICK,
+            (true, true) => PATIENT,
+            (false, _) => ASKED_LATE,
+        }
+    }
+
+    /// An answer came.
+    pub fn told(&mut self) {
+        self.told = true;
+    }
+
+    /// How long after a free call that failed the next one goes out.
+    pub fn gap(&self, ended: Ended) -> Duration {
+        if ended == Ended::Spoilt {
+            SPOILT_GAP
+        } else {
+            GAP
+        }
+    }
+
+    /// When to call anew after a watch or its beginning failed; none where calls are paid for and the module
+    /// spreads them. Guards, there too, against a silence that is noticed in time and mended too late.
+    pub fn again(&mut self, ended: Ended) -> Option<Duration> {
+        match (std::mem::take(&mut self.told), ended) {
+            (true, Ended::Silent) => Some(Duration::ZERO),
+            _ => self.pushed.then(|| self.gap(ended)),
+        }
+    }
+}
--- a/crates/agent/src/wire/listing.rs
+++ b/crates/agent/src/wire/listing.rs
@@ -3,14 +3,15 @@
 use super::Malformed;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tulipwall::Standing;
 use tulipwall_deployment::Fields;
 
 pub const LIST: &str = "/api/targets";
 
-/// The watch for what is newer than `version`; it waits for `wait_ms`.
-pub fn watch(version: u64, wait_ms: u64) -> String {
-    format!("{LIST}?after={version}&wait_ms={wait_ms}")
+/// The watch for what is newer than `version`.
+pub fn watch(version: u64, wait: Duration) -> String {
+    format!("{LIST}?after={version}&wait_ms={}", wait.as_millis())
 }
 
 #[derive(Debug)]
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -7,7 +7,7 @@
 use futures_lite::future::FutureExt;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -41,9 +41,22 @@
     Says(String),
 }
 
+/// How one further connection is met, whatever the manner.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Meets {
+    /// It is closed.
+    Refuses,
+    /// It is answered as ever from now on, after so long.
+    Late(Duration),
+    /// Nothing is ever said on it.
+    Mute,
+}
+
 #[derive(Default)]
 struct State {
     manner: Manner,
+    next: VecDeque<Meets>, // how the next connections are met
+    hushes: u64,           // how often open connections fell silent
     version: u64,
     entries: BTreeMap<String, (u64, Entry)>, // with the version of its last change
     asked: usize,
@@ -126,6 +139,14 @@
         self.shared.changed.notify(usize::MAX);
     }
 
+    /// Watches that are open fall silent, though their connections stay; the next ones are met like this, then as
+    /// ever.
+    pub fn hush(&self, next: impl IntoIterator<Item = Meets>) {
+        let mut state = self.shared.state();
+        state.hushes += 1;
+        state.next = next.into_iter().collect();
+    }
+
     /// How often anything was asked.
     pub fn asked(&self) -> usize {
         self.shared.state().asked
@@ -155,6 +176,16 @@
 }
 
 async fn talk(shared: &Shared, from: usize, mut stream: Async<TcpStream>) -> io::Result<()> {
+    let (meets, hushes) = {
+        let mut state = shared.state();
+        (state.next.pop_front(), state.hushes)
+    };
+    match meets {
+        Some(Meets::Refuses) => return Ok(()),
+        Some(Meets::Late(time)) => sleep(time).await,
+        Some(Meets::Mute) => futures_lite::future::pending().await,
+        None => {}
+    }
     loop {
         let Some(path) = question(&mut stream).await? else { return Ok(()) };
         let manner = {
@@ -172,6 +203,9 @@
             }
             Manner::Tells => told(shared, from, &path).await,
         };
+        if shared.state().hushes != hushes {
+            futures_lite::future::pending::<()>().await;
+        }
         let body = body.to_string();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -25,7 +25,7 @@
 pub use appliance::{Act, Appliance, Counted, Link, Seen, Ways};
 pub use caller::{Caller, Told};
 pub use cutter::{Cut, Cutter};
-pub use discovery::{Discovery, Entry, Manner};
+pub use discovery::{Discovery, Entry, Manner, Meets};
 pub use load::{Answered, Load};
 pub use platform::{News, Offer, Platform};
 pub use program::{configuration, lanes, service, settings, Lane, Program};
