Starts ask discovery first; drains in spoilt or older lists are kept; lists go before commands

What can be read is obeyed, the doubtful appliance rests, the version is not taken for heard, so that all of it is told again; it is named once. - a list that had come waited behind up to 256 tasks. Discovery has an executor of its own that goes before each task, and the sockets are looked at after 32 tasks. - after SIGHUP, and after a silence where calls are paid for, a few tries go out whatever the back-off says, half of each gap by chance: three hundred silences at once stay apart (tests/lists.rs states the bound).

Ruled out by reading and a test: the way from a decision to the first byte (deliver checks list and news right before the write, with no wait between, for second copies and retries, too; a connection that comes up late is kept unused).

Also: a flaky start in tests.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -35,6 +35,7 @@
     pub sockets: Sockets,
     pub buffers_most: Cell<usize>,
     pub tasks: LocalExecutor<'static>,
+    pub first: LocalExecutor<'static>, // tasks that are run before any others
     pub watch_due: Cell<bool>,
     pub watch: Event,
     pub vote: RefCell<Option<(Vote, Duration)>>, // cast, and not yet written
@@ -43,6 +44,8 @@
     moves: Cell<u64>, // how often the parties' addresses were read anew
     moved: Event,
     first_list: Event,
+    heard: Cell<bool>, // of discovery itself, or not in time
+    first_heard: Event,
     list: RefCell<List>,
     pools: RefCell<Pools>,
 }
@@ -65,6 +68,7 @@
             sockets: Sockets::new(start.sockets),
             buffers_most: Cell::new(start.memory / 4),
             tasks: LocalExecutor::new(),
+            first: LocalExecutor::new(),
             watch_due: Cell::default(),
             watch: Event::new(),
             vote: RefCell::default(),
@@ -73,6 +77,8 @@
             moves: Cell::default(),
             moved: Event::new(),
             first_list: Event::new(),
+            heard: Cell::default(),
+            first_heard: Event::new(),
             list: RefCell::default(),
             pools: RefCell::new(Pools::new(start.site.idle_most)),
             site: start.site,
@@ -82,6 +88,9 @@
             agent.news(told);
         }
         if let Some(known) = start.known {
+            if let Some(what) = &known.spoilt {
+                log::warn!("field known: {what}; nothing goes there");
+            }
             agent.listed(known);
         }
         agent
@@ -160,6 +169,20 @@
         }
     }
 
+    /// Discovery was heard, or a start need not wait for it any longer.
+    pub fn heard(&self) {
+        if !self.heard.replace(true) {
+            self.first_heard.notify(usize::MAX);
+        }
+    }
+
+    /// Ready once commands may go by the list that is known. Guards a new process that was given an old one.
+    pub async fn may_serve(&self) {
+        while !self.heard.get() {
+            self.first_heard.listen().await;
+        }
+    }
+
     pub fn listed(&self, told: Listing) {
         let complete = told.complete;
         let (entries, stale) = self.list.borrow_mut().take(told, &self.site, &self.clock);
--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -53,6 +53,7 @@
     lane: usize,
     heard: Duration,
 ) -> Final {
+    agent.may_serve().await;
     let customer = statement.customer.as_deref().and_then(|c| agent.site.customer(c));
     let expires = heard + statement.wait;
     let left = expires.saturating_sub(agent.clock.now());
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -44,7 +44,10 @@
             }
         };
         due.or(agent.moved(moves)).await;
-        owes |= agent.moves() != moves;
+        if agent.moves() != moves {
+            owes = true;
+            vigil.moved();
+        }
         moves = agent.moves();
         let moved = async {
             agent.moved(moves).await;
@@ -88,7 +91,12 @@
         Err(end) => return end,
     };
     loop {
+        let spoilt = told.spoilt.clone();
         agent.listed(told);
+        agent.heard();
+        if let Some(what) = spoilt {
+            return End(Ended::Spoilt, format!("list: {what}"));
+        }
         vigil.told();
         if let Some(since) = away.take() {
             log::info!("discovery: heard again after {:.1?}", agent.clock.now().saturating_sub(since));
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -16,6 +16,8 @@
     zone: usize,
     build: u32,
     standing: Standing,
+    started_ms: Option<u64>,
+    left: u64,    // the version that told that it leaves, while it does
     held: Rc<()>, // by each delivery to it
 }
 
@@ -40,9 +42,12 @@
 
 impl List {
     /// Takes in what discovery told: the entries for the module, and the appliances whose connections are
-    /// of no more use.
+    /// of no more use. Of a spoilt list what can be read is obeyed; its version is not, so that all of it is told
+    /// again.
     pub fn take(&mut self, told: Listing, site: &Site, clock: &Clock) -> (Vec<Listed>, Vec<usize>) {
-        self.version = told.version;
+        if told.spoilt.is_none() {
+            self.version = told.version;
+        }
         let (mut listed, mut stale, mut named) = (Vec::new(), Vec::new(), BTreeSet::new());
         for e in told.entries {
             // A zone that the settings do not know is nobody's own.
@@ -51,10 +56,22 @@
             named.insert(appliance);
             let kept = &mut self.kept[appliance];
             let same = (kept.address, kept.zone, kept.build) == (e.address, zone, e.build);
-            if !same || e.standing != Standing::Running {
+            // Guards against older lists, as another discovery may hold: who was told to leave goes on leaving
+            // until a newer list, or another life of the appliance, says otherwise.
+            let older = told.version < kept.left && same && e.started_ms <= kept.started_ms;
+            let standing = match (e.standing, kept.standing) {
+                (Standing::Running, was @ (Standing::Draining | Standing::Gone)) if older => was,
+                (standing, _) => standing,
+            };
+            if !same || standing != Standing::Running {
                 stale.push(appliance);
             }
-            (kept.address, kept.zone, kept.build, kept.standing) = (e.address, zone, e.build, e.standing);
+            kept.left = match standing {
+                Standing::Running => 0,
+                _ => kept.left.max(told.version),
+            };
+            (kept.address, kept.zone, kept.build) = (e.address, zone, e.build);
+            (kept.standing, kept.started_ms) = (standing, e.started_ms);
             listed.push(Listed {
                 appliance,
                 zone,
@@ -62,14 +79,27 @@
                 mark: number(&e.id),
                 kind: self.kind(&e.kind),
                 build: e.build,
-                standing: e.standing,
+                standing,
                 started: e.started_ms.and_then(|ms| clock.of_wall(ms)),
             });
         }
+        // What its entry says cannot be read: nothing goes there until it can be.
+        for appliance in told.doubtful.iter().filter_map(|id| self.numbers.get(id).copied()) {
+            let kept = &mut self.kept[appliance];
+            named.insert(appliance);
+            stale.push(appliance);
+            if kept.standing == Standing::Running {
+                (kept.standing, kept.left) = (Standing::Draining, told.version);
+            }
+            let (zone, build, standing) = (kept.zone, kept.build, kept.standing);
+            let mark = number(&kept.id);
+            listed.push(Listed { appliance, zone, cell: 0, mark, kind: 0, build, standing, started: None });
+        }
         if told.complete {
             let lacking = (0..self.kept.len()).filter(|i| !named.contains(i));
             for i in lacking {
-                self.kept[i].standing = Standing::Gone;
+                let kept = &mut self.kept[i];
+                (kept.standing, kept.left) = (Standing::Gone, kept.left.max(told.version));
                 stale.push(i);
             }
         }
@@ -98,7 +128,8 @@
         let free = |k: &Kept| k.standing == Standing::Gone && Rc::strong_count(&k.held) == 1;
         let number = self.kept.iter().position(free).unwrap_or(self.kept.len());
         let (id, address, build, standing) = (e.id.clone(), e.address, e.build, e.standing);
-        let kept = Kept { id, address, zone, build, standing, held: Rc::default() };
+        let started_ms = e.started_ms;
+        let kept = Kept { id, address, zone, build, standing, started_ms, left: 0, held: Rc::default() };
         match self.kept.get_mut(number) {
             Some(old) => drop(self.numbers.remove(&std::mem::replace(old, kept).id)),
             None => self.kept.push(kept),
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -6,6 +6,7 @@
 use crate::lifecycle::start::{Files, Start};
 use crate::memory::pools::Slot;
 use crate::reactor::{self, Source, Timer};
+use crate::vigil::Vigil;
 use crate::wire::connection::Connection;
 use crate::{client, delivery, discovery, door, logs, platform};
 use futures_lite::future::{self, FutureExt};
@@ -49,7 +50,7 @@
             agent.tasks.spawn(async move { door::run(&a, listening).await })
         });
         let a = agent.clone();
-        agent.tasks.spawn(async move { discovery::run(&a).await }).detach();
+        agent.first.spawn(async move { discovery::run(&a).await }).detach();
         let a = agent.clone();
         agent.tasks.spawn(async move { platform::run(&a).await }).detach();
         let a = agent.clone();
@@ -58,6 +59,8 @@
         agent.tasks.spawn(async move { signals::obey(&a, signals, &files).await }).detach();
         let a = agent.clone();
         let ready = async move {
+            a.until(a.clock.now() + Vigil::new(&a.site.deployment).start_within()).or(a.may_serve()).await;
+            a.heard();
             delivery::warm(&a).await;
             a.life.reach(Phase::Serving);
         };
@@ -75,7 +78,7 @@
         }
         Ok::<(), io::Error>(())
     };
-    let outcome = reactor::run(&agent.tasks, run).and_then(|outcome| outcome);
+    let outcome = reactor::run(&agent.tasks, &agent.first, run).and_then(|outcome| outcome);
     log::info!("{}; {}", agent.counters, agent.kept());
     outcome.inspect_err(|fault| log::error!("{fault}")).is_ok()
 }
--- a/crates/agent/src/reactor.rs
+++ b/crates/agent/src/reactor.rs
@@ -18,8 +18,10 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-/// Events taken in a turn, and tasks run between two turns.
+/// Events taken in a turn.
 const BATCH: usize = 256;
+/// Tasks run between two turns: what waits behind them waits for no more than so many.
+const TASKS: usize = 32;
 
 thread_local! {
     static REACTOR: Reactor = Reactor::new();
@@ -119,16 +121,28 @@
     }
 }
 
-/// Runs the tasks of `executor` until `main` is done, which is looked at after each turn.
-pub fn run<T>(executor: &LocalExecutor<'_>, main: impl Future<Output = T>) -> io::Result<T> {
+/// Runs the tasks of `executor` until `main` is done, which is looked at after each turn. Those of `first` are run
+/// before any other: what they hear binds the others from then on.
+pub fn run<T>(
+    executor: &LocalExecutor<'_>,
+    first: &LocalExecutor<'_>,
+    main: impl Future<Output = T>,
+) -> io::Result<T> {
     let mut main = pin!(main);
     let mut cx = Context::from_waker(Waker::noop());
+    let tick = || {
+        let mut ran = false;
+        while first.try_tick() {
+            ran = true;
+        }
+        executor.try_tick() || ran
+    };
     loop {
-        let busy = (0..BATCH).all(|_| executor.try_tick());
+        let busy = (0..TASKS).all(|_| tick());
         if let Poll::Ready(outcome) = main.as_mut().poll(&mut cx) {
             return Ok(outcome);
         }
-        let busy = busy || executor.try_tick();
+        let busy = busy || tick();
         REACTOR.with(|r| r.turn(!busy))?;
     }
 }
--- a/crates/agent/src/vigil.rs
+++ b/crates/agent/src/vigil.rs
@@ -36,6 +36,15 @@
 /// The part of a wait that is left to chance, so that agents whose watches fall silent together call apart.
 const ASKED_CHANCE: f64 = 0.5;
 
+/// Tries that go out, whatever the others do, before what a silent watch missed counts as told: one at once, one
+/// after this gap, of which half is left to chance. So many follow a new address, at which it counts 4 s later.
+const NEEDED: u32 = 2;
+const NEEDED_MOVED: u32 = 4;
+const NEEDED_GAP: Duration = ms(500);
+
+/// How long a start waits for a first answer before it serves by the list it was given.
+const START_WITHIN: Duration = ms(300);
+
 /// How a watch ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -51,7 +60,8 @@
     pushed: bool,
     longest: Duration, // wait of a call
     rng: Pcg64Mcg,
-    told: bool, // since the last call that failed
+    told: bool,  // since the last call that failed
+    needed: u32, // tries that are still due, whatever the others do
 }
 
 impl Vigil {
@@ -60,7 +70,13 @@
         let [least, most] = ASKED_WAIT;
         let most = most.min(d.ask_within).max(least);
         let longest = if d.list_shared { (each * ASKED_SHARES).clamp(least, most) } else { PUSHED_WAIT };
-        Vigil { pushed: !d.list_shared, longest, rng: Pcg64Mcg::seed_from_u64(d.seed), told: false }
+        Vigil {
+            pushed: !d.list_shared,
+            longest,
+            rng: Pcg64Mcg::seed_from_u64(d.seed),
+            told: false,
+            needed: 0,
+        }
     }
 
     /// Calls are free: the list is asked for at once, and again and again while no answer comes.
@@ -68,6 +84,11 @@
         self.pushed
     }
 
+    /// The longest wait of any call.
+    pub fn longest(&self) -> Duration {
+        self.longest
+    }
+
     /// How long the next call may wait for news; `first` of its connection.
     pub fn wait(&mut self, first: bool) -> Duration {
         match (self.pushed, first) {
@@ -96,9 +117,24 @@
         }
     }
 
+    /// Commands that come before a first answer wait for it for so long: what discovery holds counts as told from
+    /// the first moment of a process where lists are pushed.
+    pub fn start_within(&self) -> Duration {
+        if self.pushed {
+            START_WITHIN
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// An answer came.
     pub fn told(&mut self) {
-        self.told = true;
+        (self.told, self.needed) = (true, 0);
+    }
+
+    /// Discovery is at another address from now on.
+    pub fn moved(&mut self) {
+        (self.told, self.needed) = (false, NEEDED_MOVED);
     }
 
     /// How long after a free call that failed the next one goes out.
@@ -113,9 +149,17 @@
     /// When to call anew after a watch or its beginning failed; none where calls are paid for and the module
     /// spreads them. Guards, there too, against a silence that is noticed in time and mended too late.
     pub fn again(&mut self, ended: Ended) -> Option<Duration> {
-        match (std::mem::take(&mut self.told), ended) {
+        let stood = std::mem::take(&mut self.told);
+        if stood && ended != Ended::Broken {
+            self.needed = NEEDED;
+        }
+        let due = self.needed > 0;
+        self.needed = self.needed.saturating_sub(1);
+        match (stood, ended) {
             (true, Ended::Silent) => Some(Duration::ZERO),
-            _ => self.pushed.then(|| self.gap(ended)),
+            (true, Ended::Spoilt) => Some(GAP),
+            _ if self.pushed => Some(self.gap(ended)),
+            _ => due.then(|| NEEDED_GAP.mul_f64(self.rng.gen_range(0.5..1.0))),
         }
     }
 }
--- a/crates/agent/src/wire/listing.rs
+++ b/crates/agent/src/wire/listing.rs
@@ -33,6 +33,11 @@
     pub version: u64,
     pub complete: bool,
     pub entries: Vec<Entry>,
+    /// What of it could not be read, where something could not: what could be is to be obeyed, as all of it counts
+    /// as told, and the rest to be asked for.
+    pub spoilt: Option<String>,
+    /// Ids of entries that could not be read but for it.
+    pub doubtful: Vec<String>,
 }
 
 impl Listing {
@@ -42,26 +47,36 @@
     }
 
     pub fn read(list: &Fields) -> Result<Listing, String> {
-        let mut entries = Vec::new();
-        for entry in list.array("servers")? {
-            let e = Fields::of(entry, "servers")?;
-            let address = e.text("addr")?;
-            entries.push(Entry {
-                id: e.text("id")?.to_owned(),
-                address: address.parse().map_err(|_| format!("field addr: '{address}' is no address"))?,
-                zone: e.text("zone")?.to_owned(),
-                cell: e.whole("cell")?,
-                kind: e.maybe("kind").and_then(Value::as_str).unwrap_or_default().to_owned(),
-                build: u32::try_from(e.whole("release")?).map_err(|_| "field release: too large")?,
-                standing: match e.text("state")? {
-                    "in_service" => Standing::Running,
-                    "terminating" => Standing::Draining,
-                    "terminated" => Standing::Gone,
-                    other => return Err(format!("field state: unknown value '{other}'")),
-                },
-                started_ms: Some(e.number("started_ms")? as u64).filter(|t| *t > 0),
-            });
+        let (mut entries, mut spoilt, mut doubtful) = (Vec::new(), None, Vec::new());
+        for told in list.array("servers")? {
+            match Fields::of(told, "servers").and_then(|e| entry(&e)) {
+                Ok(entry) => entries.push(entry),
+                Err(what) => {
+                    doubtful.extend(told.get("id").and_then(Value::as_str).map(str::to_owned));
+                    spoilt.get_or_insert(what);
+                }
+            }
         }
-        Ok(Listing { version: list.whole("version")?, complete: list.truth("full")?, entries })
+        let (version, complete) = (list.whole("version")?, list.truth("full")?);
+        Ok(Listing { version, complete, entries, spoilt, doubtful })
     }
 }
+
+fn entry(e: &Fields) -> Result<Entry, String> {
+    let address = e.text("addr")?;
+    Ok(Entry {
+        id: e.text("id")?.to_owned(),
+        address: address.parse().map_err(|_| format!("field addr: '{address}' is no address"))?,
+        zone: e.text("zone")?.to_owned(),
+        cell: e.whole("cell")?,
+        kind: e.maybe("kind").and_then(Value::as_str).unwrap_or_default().to_owned(),
+        build: u32::try_from(e.whole("release")?).map_err(|_| "field release: too large")?,
+        standing: match e.text("state")? {
+            "in_service" => Standing::Running,
+            "terminating" => Standing::Draining,
+            "terminated" => Standing::Gone,
+            other => return Err(format!("field state: unknown value '{other}'")),
+        },
+        started_ms: Some(e.number("started_ms")? as u64).filter(|t| *t > 0),
+    })
+}
--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -1,53 +1,73 @@
 //! Appliances that leave: nothing goes to them after the announcement counts as told and its grace is over,
 //! judged by what the stand-in appliances received.
 
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::thread::sleep;
 use std::time::{Duration, Instant};
+use tulipwall_standins::appliance::Link;
+use tulipwall_standins::ground::SOON;
 use tulipwall_standins::*;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_tulipwall-agent");
 /// What a silent watch misses counts as told so long after it fell silent; then there is the grace.
-const TOLD_AFTER: Duration = Duration::from_secs(6);
-const GRACE: Duration = Duration::from_millis(250);
+const TOLD_AFTER: Duration = ms(6000);
+const GRACE: Duration = ms(250);
 
-fn world() -> World {
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn world(appliances: usize) -> World {
     let world = World::new(&["a"], program::lanes()).unwrap();
-    for n in 0..2 {
+    for n in 0..appliances {
         world.appliance(0, &format!("s-{n}"), 41, Ways::default()).unwrap();
     }
     world
 }
 
+fn start(world: &World) -> Program {
+    Program::start(BINARY, world.configuration("n1", 0).unwrap(), &[]).unwrap()
+}
+
+fn caller(agent: &Program) -> Caller {
+    Caller::connect(agent.address().unwrap()).unwrap()
+}
+
+fn leaves(world: &World, id: &str) {
+    world.discovery.change(id, |e| e.state = "terminating".into());
+}
+
 /// Asks until `until`, and says when `s-0` was last sent anything.
-fn last_sent(world: &World, agent: &Program, until: Instant) -> Instant {
-    let mut client = Caller::connect(agent.address().unwrap()).unwrap();
-    let s0 = world.get("s-0").unwrap();
-    let (mut last, mut seen) = (Instant::now(), s0.seen_count());
+fn last_sent(world: &World, agent: &Program, until: Instant) -> Option<Instant> {
+    let mut client = caller(agent);
     while Instant::now() < until {
         client.ask("view", 1000);
-        assert!(client.told().unwrap().code().is_none());
-        if s0.seen_count() > seen {
-            (last, seen) = (Instant::now(), s0.seen_count());
-        }
-        std::thread::sleep(Duration::from_millis(5));
+        assert_eq!(client.told().unwrap().code(), None);
+        sleep(ms(5));
     }
-    last
+    world.get("s-0").unwrap().seen().last().map(|s| s.at)
 }
 
 /// The watch falls silent, its next connections are met like this, and one appliance is to leave.
 fn silence(next: &[Meets]) {
-    let world = world();
-    let agent = Program::start(BINARY, world.configuration("n1", 0).unwrap(), &[]).unwrap();
+    let world = world(2);
+    let agent = start(&world);
     // Past its first call, which waits for less.
-    last_sent(&world, &agent, Instant::now() + Duration::from_millis(1300));
+    last_sent(&world, &agent, Instant::now() + ms(1300));
     let silent = Instant::now();
     world.discovery.hush(next.iter().cloned());
-    world.discovery.change("s-0", |e| e.state = "terminating".into());
+    leaves(&world, "s-0");
     let told = silent + TOLD_AFTER + GRACE;
-    let last = last_sent(&world, &agent, told + GRACE);
-    assert!(last > silent && last < told, "sent {:?} after the silence began", last - silent);
+    let last = last_sent(&world, &agent, told + GRACE).unwrap();
+    assert!(last < told, "sent {:?} after the silence began", last - silent);
     assert!(ground::until(|| agent.log().contains("discovery: heard again")));
 }
 
+/// Guards against a watch that is given up only when what it missed counts as told. Costs a call a second where
+/// they are free.
 #[test]
 fn a_watch_that_falls_silent_is_begun_anew_before_what_it_misses_counts_as_told() {
     silence(&[]);
@@ -55,6 +75,183 @@
 
 #[test]
 fn so_it_is_where_the_next_connections_are_late_refused_and_silent() {
-    let late = || Meets::Late(Duration::from_secs(1));
+    let late = || Meets::Late(ms(1000));
     silence(&[late(), Meets::Refuses, Meets::Mute, late(), late(), Meets::Refuses, Meets::Mute, late()]);
 }
+
+/// Guards against lists that come between a decision and the first byte: the connection of either delivery, the
+/// second copy too, comes up after them. Without room for connections kept ahead, each has to be opened.
+#[test]
+fn what_was_decided_before_the_announcement_goes_elsewhere_when_its_connection_comes_up() {
+    let world = world(2);
+    for id in ["s-0", "s-1"] {
+        world.get(id).unwrap().link(0, Link { back: ms(300), ..Link::default() });
+    }
+    let mut configuration = world.configuration("n1", 0).unwrap();
+    configuration["limits"]["sockets"] = 26.into();
+    configuration["settings"]["limits"]["dial-timeout-ms"] = 2000.into();
+    let agent = Program::start(BINARY, configuration, &[]).unwrap();
+    let mut client = caller(&agent);
+    client.ask("view", 1400);
+    sleep(ms(120));
+    world.appliance(0, "s-2", 41, Ways::default()).unwrap();
+    leaves(&world, "s-0");
+    leaves(&world, "s-1");
+    assert_eq!(client.told().unwrap().code(), None);
+    let seen = |id: &str| world.get(id).unwrap().seen_count();
+    assert_eq!((seen("s-0"), seen("s-1"), seen("s-2")), (0, 0, 1));
+}
+
+/// Guards a new process that was given an old list, while what discovery holds counts as told from its first moment.
+/// Delays the first commands while discovery is away, for the time of a start.
+#[test]
+fn a_start_from_an_old_list_sends_nothing_before_discovery_was_asked() {
+    let world = world(2);
+    let configuration = world.configuration("n1", 0).unwrap();
+    leaves(&world, "s-0");
+    world.discovery.hush([Meets::Late(ms(120))]);
+    let agent = Program::start(BINARY, configuration.clone(), &[]).unwrap();
+    // A client that does not wait until it is told that the agent serves, as after a restart.
+    let ahead =
+        [pg::startup(), pg::query("SELECT body FROM objects WHERE oid = 'a1' /* id=1,c=view,d=900 */")];
+    let mut eager = loop {
+        if let Ok(stream) = std::net::TcpStream::connect(agent.address().unwrap()) {
+            break Caller { stream };
+        }
+    };
+    std::io::Write::write_all(&mut eager.stream, &ahead.concat()).unwrap();
+    eager.until_ready().unwrap();
+    assert_eq!(eager.told().unwrap().code(), None);
+    assert_eq!(last_sent(&world, &agent, Instant::now() + ms(300)), None);
+    // Discovery that is away keeps nobody from serving by that list.
+    world.discovery.manner(Manner::Silent);
+    let mut configuration = configuration;
+    configuration["listen"] = program::free().to_string().into();
+    let begun = Instant::now();
+    let agent = Program::start(BINARY, configuration, &[]).unwrap();
+    let mut client = caller(&agent);
+    client.ask("view", 900);
+    assert!(client.told().unwrap().code().is_none() && begun.elapsed() < SOON);
+}
+
+/// Guards the rule where the address moves: what the new one holds counts as told 4 s later.
+#[test]
+fn at_a_new_address_that_is_late_the_list_is_heard_before_it_counts() {
+    let (world, next) = (world(2), Discovery::start(1).unwrap());
+    next.tell(world.discovery.entries());
+    next.change("s-0", |e| e.state = "terminating".into());
+    next.hush([Meets::Refuses, Meets::Mute, Meets::Late(ms(1000)), Meets::Late(ms(1000))]);
+    let agent = start(&world);
+    last_sent(&world, &agent, Instant::now() + ms(300));
+    let mut configuration = agent.configuration.clone();
+    configuration["discovery"] = next.address(0).to_string().into();
+    let moved = Instant::now();
+    agent.renew(&configuration.to_string()).unwrap();
+    let last = last_sent(&world, &agent, moved + ms(4000) + GRACE).unwrap();
+    assert!(last < moved + ms(4000), "sent {:?} after it", last - moved);
+}
+
+/// Guards against a list that is refused whole for one entry, and against asking for it over and over.
+#[test]
+fn a_drain_beside_an_unreadable_entry_is_obeyed_and_the_list_asked_for_anew_now_and_then() {
+    let world = world(3);
+    let agent = start(&world);
+    last_sent(&world, &agent, Instant::now() + ms(200));
+    let mut list = world.discovery.known(0);
+    let entries = list["servers"].as_array_mut().unwrap();
+    entries[0]["state"] = "terminating".into();
+    entries[1]["cell"] = Value::Null;
+    entries.push(json!({"id": 7}));
+    list["version"] = 99.into();
+    let text = serde_json::to_string_pretty(&list).unwrap();
+    let (spoilt, asked) = (Instant::now(), world.discovery.asked());
+    world.discovery.manner(Manner::Says(Speaker::http(&text)));
+    let last = last_sent(&world, &agent, spoilt + ms(2000)).unwrap();
+    assert!(last < spoilt + GRACE, "sent {:?} after it", last - spoilt);
+    let asked = world.discovery.asked() - asked;
+    assert!((2..40).contains(&asked), "asked {asked} times in 2 s");
+    assert_eq!(agent.log().matches("is asked anew").count(), 1, "named once");
+}
+
+/// When something was announced to leave for good, and when that binds.
+type Drains = BTreeMap<String, Instant>;
+
+/// Deliveries to appliances after their announcement bound.
+fn late(world: &World, drains: &Drains) -> usize {
+    let late = |(id, bound): (&String, &Instant)| {
+        world.get(id).unwrap().seen().iter().filter(|s| s.at > *bound).count()
+    };
+    drains.iter().map(late).sum()
+}
+
+/// Silences, late and refused connections, spoilt lists, restarts from the old list, new configurations and drains
+/// by chance; `told` is what the agent hears.
+fn days(seed: u64, world: &World, told: &Discovery) -> usize {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut configuration = world.configuration("n1", 0).unwrap();
+    configuration["discovery"] = told.address(0).to_string().into();
+    let mut agent = Program::start(BINARY, configuration.clone(), &[]).unwrap();
+    let (mut drains, mut silent) = (Drains::new(), None::<Instant>);
+    for step in 0..9 {
+        let mut client = caller(&agent);
+        let until = Instant::now() + ms(rng.gen_range(400..1600));
+        while Instant::now() < until {
+            client.ask("view", 800);
+            let _ = client.told().unwrap();
+        }
+        match rng.gen_range(0..4) {
+            0 | 1 => {
+                let meets = [Meets::Refuses, Meets::Mute, Meets::Late(ms(rng.gen_range(50..1000)))];
+                let next: Vec<_> =
+                    (0..rng.gen_range(0..4)).map(|_| meets[rng.gen_range(0..3)].clone()).collect();
+                told.hush(next);
+                silent = Some(Instant::now());
+            }
+            2 => agent.renew(&configuration.to_string()).unwrap(),
+            _ => {
+                drop(client);
+                drop(agent);
+                told.hush([]);
+                agent = Program::start(BINARY, configuration.clone(), &[]).unwrap();
+                caller(&agent);
+            }
+        }
+        let id = format!("s-{step}");
+        let now = Instant::now();
+        leaves(world, &id);
+        // A silence may last as long as the rule allows; a new address, and a start, may be under way.
+        let under_way = silent.filter(|s| *s + TOLD_AFTER > now).map_or(now + ms(300), |s| s + TOLD_AFTER);
+        drains.insert(id, under_way + GRACE);
+    }
+    let mut client = caller(&agent);
+    let end = *drains.values().max().unwrap() + ms(300);
+    while Instant::now() < end {
+        client.ask("view", 800);
+        let _ = client.told().unwrap();
+    }
+    late(world, &drains)
+}
+
+#[test]
+fn whatever_befalls_the_watch_nothing_goes_to_who_left() {
+    let all: Vec<_> = (1..5)
+        .map(|seed| {
+            std::thread::spawn(move || {
+                let world = world(12);
+                (seed, days(seed, &world, &world.discovery))
+            })
+        })
+        .collect();
+    for day in all {
+        let (seed, late) = day.join().unwrap();
+        assert_eq!(late, 0, "seed {seed}");
+    }
+}
+
+/// The judge of these days finds an agent that is never told.
+#[test]
+fn an_agent_that_hears_of_no_drain_is_found_out() {
+    let (world, deaf) = (world(12), Discovery::start(1).unwrap());
+    deaf.tell(world.discovery.entries());
+    assert!(days(1, &world, &deaf) > 0);
+}
--- /dev/null
+++ b/crates/agent/tests/lists.rs
@@ -0,0 +1,197 @@
+//! What lists say of who leaves, as the list and the module take it, and when discovery is called: without sockets.
+
+use serde_json::{json, Value};
+use std::time::Duration;
+use tulipwall::{Answer, Choice, Command, Deployment};
+use tulipwall_agent::memory::{clock::Clock, list::List};
+use tulipwall_agent::reactor::{self, Timer};
+use tulipwall_agent::vigil::{Ended, Vigil};
+use tulipwall_agent::wire::listing::Listing;
+use tulipwall_deployment::{Fields, Site};
+use tulipwall_standins::*;
+
+fn site(agents: u32) -> Site {
+    let value = program::settings(&["a"], "a", agents, &program::lanes());
+    Site::read(&Fields::of(&value, "settings").unwrap(), 1).unwrap()
+}
+
+fn entry(id: &str, state: &str, port: u16, build: u32) -> Value {
+    json!({"id": id, "addr": format!("127.0.0.1:{port}"), "zone": "a", "cell": 0, "state": state,
+        "started_ms": 0, "release": build})
+}
+
+/// The list and the module beside it, which must agree on who may be sent to.
+struct Both {
+    site: Site,
+    clock: Clock,
+    list: List,
+    choice: Choice,
+}
+
+impl Both {
+    fn new() -> Both {
+        let (site, clock) = (site(1), Clock::start());
+        let choice = Choice::new(clock.now(), site.deployment.clone());
+        Both { site, clock, list: List::default(), choice }
+    }
+
+    fn told(&mut self, version: u64, full: bool, servers: &[Value]) {
+        let told = json!({"version": version, "full": full, "servers": servers});
+        let told = Listing::parse(serde_json::to_string_pretty(&told).unwrap().as_bytes()).unwrap();
+        let complete = told.complete;
+        let (entries, _) = self.list.take(told, &self.site, &self.clock);
+        self.choice.list(self.clock.now(), &entries, complete);
+    }
+
+    /// Ids that the list would send to, after the module sent a hundred commands to some of them only.
+    fn sent_to(&mut self) -> Vec<String> {
+        let mut ids: Vec<_> =
+            self.list.targets().iter().map(|t| self.list.name(t.appliance).to_owned()).collect();
+        ids.sort();
+        for id in 0..100 {
+            let now = self.clock.now() + Duration::from_millis(id);
+            let command = Command {
+                lane: 0,
+                customer: None,
+                key: None,
+                left: Duration::from_secs(1),
+                work: None,
+                again: false,
+            };
+            self.choice.take(now, id, command);
+            if let Answer::Send { appliance, .. } = self.choice.place(now, id) {
+                assert!(ids.contains(&self.list.name(appliance).to_owned()), "they differ");
+            }
+            self.choice.left(id);
+        }
+        ids
+    }
+}
+
+/// Guards against a discovery at another address that is behind. Harms an appliance that is called back within one
+/// version: it is told again by the next.
+#[test]
+fn an_older_list_brings_back_nobody_who_was_told_to_leave_but_another_life_of_it() {
+    let mut both = Both::new();
+    let run = |id: &str| entry(id, "in_service", 7, 41);
+    both.told(10, true, &[run("s-0"), run("s-1"), run("s-2"), run("s-3")]);
+    both.told(12, false, &[entry("s-0", "terminating", 7, 41), entry("s-1", "terminated", 7, 41)]);
+    both.told(13, true, &[run("s-3"), entry("s-0", "terminating", 7, 41)]);
+    assert_eq!(both.sent_to(), ["s-3"], "who is lacking is gone");
+    both.told(11, true, &[run("s-0"), run("s-1"), run("s-2"), run("s-3")]);
+    assert_eq!(both.sent_to(), ["s-3"], "an older list");
+    // The same id with another build or address lives anew, whatever the version.
+    both.told(12, false, &[entry("s-0", "in_service", 8, 41), entry("s-1", "in_service", 7, 42)]);
+    assert_eq!(both.sent_to(), ["s-0", "s-1", "s-3"]);
+    both.told(14, false, &[run("s-2")]);
+    assert_eq!(both.sent_to(), ["s-0", "s-1", "s-2", "s-3"], "a newer list says so");
+}
+
+/// Guards against a list that counts as told though one entry cannot be read. Harms that appliance until it can be.
+#[test]
+fn of_a_list_with_an_unreadable_entry_the_rest_is_obeyed_and_its_appliance_rests() {
+    let mut both = Both::new();
+    let run = |id: &str| entry(id, "in_service", 7, 41);
+    both.told(1, true, &[run("s-0"), run("s-1"), run("s-2"), run("s-3")]);
+    let spoilt = |key: &str, value: Value| {
+        let mut e = run("s-1");
+        e[key] = value;
+        e
+    };
+    let bad =
+        [("state", json!("asleep")), ("addr", json!("here")), ("release", json!(-1)), ("cell", json!([]))];
+    for (n, (key, value)) in bad.into_iter().enumerate() {
+        let version = 2 + 2 * n as u64;
+        both.told(
+            version,
+            n % 2 == 0,
+            &[spoilt(key, value), entry("s-0", "terminating", 7, 41), json!(7), run("s-2"), run("s-3")],
+        );
+        assert_eq!(both.list.version, version - 1, "its version is not taken for heard");
+        assert_eq!(both.sent_to(), ["s-2", "s-3"], "{key}");
+        both.told(version + 1, true, &[run("s-0"), run("s-1"), run("s-2"), run("s-3")]);
+        assert_eq!(both.sent_to().len(), 4);
+    }
+    for torn in 0..80 {
+        let text = json!({"version": 9, "full": false, "servers": [run("s-0")]}).to_string();
+        assert!(Listing::parse(&text.as_bytes()[..torn]).is_err());
+    }
+}
+
+fn asked(agents: u32, votes_per_s: f64, seed: u64) -> Deployment {
+    let mut d = site(agents).deployment;
+    (d.seed, d.list_shared, d.rollout.votes_per_s) = (seed, true, votes_per_s);
+    d
+}
+
+/// Three hundred agents whose watches fall silent at the same moment, right after an answer to all, with a first call
+/// anew that is lost in silence for each second of them. Guards the rule on drains and discovery, which is paid for each call.
+#[test]
+fn three_hundred_watches_that_fall_silent_at_once_are_begun_anew_in_time_and_apart() {
+    for (agents, rate) in [(300, 120.0), (350, 150.0), (300, 30.0), (4, 120.0)] {
+        let (mut calls, mut per_s) = (Vec::new(), Vec::new());
+        for seed in 0..agents {
+            let mut vigil = Vigil::new(&asked(agents as u32, rate, seed));
+            vigil.told();
+            let wait = vigil.wait(false);
+            let mut at = wait + vigil.late() + vigil.again(Ended::Silent).unwrap();
+            calls.push(at);
+            if seed % 2 == 0 {
+                at += vigil.within(true) + vigil.again(Ended::Silent).unwrap();
+                calls.push(at);
+            }
+            let told = Duration::from_secs(6).max(wait + Duration::from_secs(2));
+            let answer = Duration::from_millis(250);
+            assert!(at + answer < told + Duration::from_millis(250), "{at:?} of {told:?} after {wait:?}");
+        }
+        calls.sort();
+        for c in &calls {
+            per_s.push(calls.iter().filter(|o| **o >= *c && **o < *c + Duration::from_secs(1)).count());
+        }
+        // Half of each wait is left to chance; each silence brings two calls at most.
+        let longest = Vigil::new(&asked(agents as u32, rate, 0)).longest().as_secs_f64();
+        let most = 2.0 * agents as f64 / (longest / 2.0) * 1.3 + 4.0;
+        assert!(
+            per_s.iter().max().unwrap() < &(most as usize),
+            "{:?} of {most} with {agents}",
+            per_s.iter().max()
+        );
+    }
+}
+
+#[test]
+fn where_calls_are_free_silence_shows_within_the_time_of_one_short_wait() {
+    let mut vigil = Vigil::new(&site(300).deployment);
+    assert_eq!(vigil.wait(true), Duration::ZERO);
+    vigil.told();
+    let notice = vigil.wait(false) + vigil.late() + vigil.again(Ended::Silent).unwrap();
+    assert!(notice + vigil.within(true) * 2 < Duration::from_secs(6), "{notice:?} and two late tries");
+    // What discovery holds at its return counts at once: the next quick try is within the grace.
+    assert!(vigil.within(false) + vigil.gap(Ended::Silent) < Duration::from_millis(250));
+    // No busy loop on lists that end or are spoilt at every call.
+    for ended in [Ended::Broken, Ended::Spoilt] {
+        vigil.told();
+        assert!(vigil.again(ended).unwrap() >= Duration::from_millis(50));
+    }
+}
+
+/// Guards against a list that waits, unread, behind a burst of commands.
+#[test]
+fn what_runs_first_waits_for_a_handful_of_other_tasks_only() {
+    let ran = std::cell::Cell::new(0);
+    let (tasks, first) = (async_executor::LocalExecutor::new(), async_executor::LocalExecutor::new());
+    for _ in 0..2000 {
+        tasks
+            .spawn(async {
+                ran.set(ran.get() + 1);
+                std::thread::sleep(Duration::from_micros(200));
+            })
+            .detach();
+    }
+    let heard = first.spawn(async {
+        Timer::after(Duration::from_millis(1)).await;
+        ran.get()
+    });
+    let before = reactor::run(&tasks, &first, heard).unwrap();
+    assert!(before < 100, "{before} tasks before it");
+}
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -5,9 +5,10 @@
 use std::ffi::OsString;
 use std::fs::File;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
 use tulipwall::{Group, Repeats};
@@ -67,7 +68,17 @@
             "spare-tries": 2.0, "vote-ttl-ms": 10000.0, "vote-wait-ms": 800.0}})
 }
 
-/// The configuration of one agent, that listens on a free loopback port.
+/// A loopback address that nobody else is given: a port that was free a moment ago may be another's by now, and a
+/// client of the one would speak to the other.
+pub fn free() -> SocketAddr {
+    static GIVEN: AtomicU16 = AtomicU16::new(0);
+    let (process, given) = (std::process::id(), GIVEN.fetch_add(1, Ordering::Relaxed));
+    let [_, _, high, low] = process.to_be_bytes();
+    let host = [127, 64 + (high & 63), low, 1 + (given % 254) as u8];
+    (host, 20_000 + given / 254).into()
+}
+
+/// The configuration of one agent, that listens on an address of its own.
 pub fn configuration(
     name: &str,
     discovery: SocketAddr,
@@ -76,8 +87,7 @@
     known: Value,
     settings: Value,
 ) -> io::Result<Value> {
-    let free = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-    Ok(json!({"name": name, "listen": free.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
+    Ok(json!({"name": name, "listen": free().to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
         "limits": {"sockets": 1024}, "known": known, "settings": settings,
         "deployer": {"address": platform.to_string(), "news": news}}))
 }
