Paid calls for the list: long waits, one second try after a silence, back-off in time

Discovery answered 503 from 10 to 32 s (log lines 'discovery: status 503' at nearly all of 290 agents), the first send 10.27 s after the change: agents that had not asked for the time within which they must.

Waits of 6 s in place of 20, four further tries after a new address and a first call given up after 0.5 s, before discovery's own time-out, kept a discovery that is paid for each call overbooked; and the module's gap, up to 1.3 times the time within which the list must be asked for, left agents silent for longer than that.

Change: waits of twice that time, a quarter by chance; first calls last past discovery's time-out again; after a silence one try at once and one beside it 0.6 s later, then the module's back-off, whose gap stays below the time allowed.

--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -7,7 +7,7 @@
 use crate::wire::listing::{self, Listing};
 use crate::wire::{http, Malformed};
 use futures_lite::FutureExt;
-use std::future::Future;
+use std::future::{self, Future};
 use std::time::Duration;
 
 /// How soon the rest of an answer that has begun must come.
@@ -44,10 +44,7 @@
             }
         };
         due.or(agent.moved(moves)).await;
-        if agent.moves() != moves {
-            owes = true;
-            vigil.moved();
-        }
+        owes |= agent.moves() != moves;
         moves = agent.moves();
         let moved = async {
             agent.moved(moves).await;
@@ -82,9 +79,10 @@
         _ => listing::LIST.to_owned(),
     };
     let (quick, patient) = (wait + vigil.within(false), wait + vigil.within(true));
-    let begun = match vigil.free() {
-        true => over(agent, vigil, &path, quick).or(begin(agent, &path, patient)).await,
-        false => begin(agent, &path, patient).await,
+    let begun = match vigil.second() {
+        _ if vigil.free() => over(agent, vigil, &path, quick).or(begin(agent, &path, patient)).await,
+        Some(gap) => either(agent, &path, patient, gap).await,
+        None => begin(agent, &path, patient).await,
     };
     let (mut connection, (mut told, mut last)) = match begun {
         Ok(begun) => begun,
@@ -136,6 +134,21 @@
     }
 }
 
+/// One try, and a second beside it after `gap`: the first that is answered.
+async fn either(agent: &Agent, path: &str, time: Duration, gap: Duration) -> Result<(Connection, Told), End> {
+    let one = async {
+        match begin(agent, path, time).await {
+            Err(_) => future::pending().await,
+            begun => begun,
+        }
+    };
+    let two = async {
+        agent.until(agent.clock.now() + gap).await;
+        begin(agent, path, time).await
+    };
+    one.or(two).await
+}
+
 async fn ask(agent: &Agent, connection: &mut Connection, path: &str) -> Result<Told, End> {
     connection.write(&http::get(&agent.discovery.get().to_string(), path)).await.map_err(broken)?;
     let mut ended = false;
--- a/crates/agent/src/vigil.rs
+++ b/crates/agent/src/vigil.rs
@@ -25,22 +25,21 @@
 /// An answer that cannot be read costs time to read: it is not asked for as often.
 const SPOILT_GAP: Duration = ms(200);
 
-/// Where lists are asked for, each call is paid for by all: the wait is so many times the span in which the
-/// platform's rate allows one call of each agent, within these.
-const ASKED_SHARES: u32 = 4;
-const ASKED_WAIT: [Duration; 2] = [ms(2000), ms(20_000)];
-/// The same for the first call of a watch, which should show soon whether discovery is there.
+/// Where lists are asked for, each call is paid for by all, and discovery may take its time: the wait is so many times
+/// the span within which the settings say the list must be asked for, of which a part is left to chance, so that
+/// agents whose watches fall silent together call apart.
+const ASKED_WAIT: u32 = 2;
+const ASKED_CHANCE: f64 = 0.25;
+/// Discovery's own bound.
+const WAIT_MOST: Duration = ms(60_000);
+/// The same for the first call of a watch, which should show soon whether discovery is there, and how long that
+/// may take: its own time-out comes first, so that it knows of the failure.
 const ASKED_FIRST: Duration = ms(1000);
-/// Leaves three quarters of the 2 s for calling anew.
+const ASKED_WITHIN: Duration = ms(2000);
+/// A wait that is over is answered at once. Leaves three quarters of the 2 s for calling anew.
 const ASKED_LATE: Duration = ms(500);
-/// The part of a wait that is left to chance, so that agents whose watches fall silent together call apart.
-const ASKED_CHANCE: f64 = 0.5;
-
-/// Tries that go out, whatever the others do, before what a silent watch missed counts as told: one at once, one
-/// after this gap, of which half is left to chance. So many follow a new address, at which it counts 4 s later.
-const NEEDED: u32 = 2;
-const NEEDED_MOVED: u32 = 4;
-const NEEDED_GAP: Duration = ms(500);
+/// A second try goes out so long after the first that follows a silence, beside it: two calls a silence at most.
+const ASKED_SECOND: Duration = ms(600);
 
 /// How long a start waits for a first answer before it serves by the list it was given.
 const START_WITHIN: Duration = ms(300);
@@ -60,23 +59,15 @@
     pushed: bool,
     longest: Duration, // wait of a call
     rng: Pcg64Mcg,
-    told: bool,  // since the last call that failed
-    needed: u32, // tries that are still due, whatever the others do
+    told: bool,   // since the last call that failed
+    silent: bool, // a watch that stood, and was not begun anew yet
 }
 
 impl Vigil {
     pub fn new(d: &Deployment) -> Vigil {
-        let each = Duration::from_secs_f64(f64::from(d.agents) / d.rollout.votes_per_s.max(0.001));
-        let [least, most] = ASKED_WAIT;
-        let most = most.min(d.ask_within).max(least);
-        let longest = if d.list_shared { (each * ASKED_SHARES).clamp(least, most) } else { PUSHED_WAIT };
-        Vigil {
-            pushed: !d.list_shared,
-            longest,
-            rng: Pcg64Mcg::seed_from_u64(d.seed),
-            told: false,
-            needed: 0,
-        }
+        let longest = if d.list_shared { (d.ask_within * ASKED_WAIT).min(WAIT_MOST) } else { PUSHED_WAIT };
+        let rng = Pcg64Mcg::seed_from_u64(d.seed);
+        Vigil { pushed: !d.list_shared, longest, rng, told: false, silent: false }
     }
 
     /// Calls are free: the list is asked for at once, and again and again while no answer comes.
@@ -84,11 +75,6 @@
         self.pushed
     }
 
-    /// The longest wait of any call.
-    pub fn longest(&self) -> Duration {
-        self.longest
-    }
-
     /// How long the next call may wait for news; `first` of its connection.
     pub fn wait(&mut self, first: bool) -> Duration {
         match (self.pushed, first) {
@@ -113,10 +99,15 @@
         match (self.pushed, patient) {
             (true, false) => QUICK,
             (true, true) => PATIENT,
-            (false, _) => ASKED_LATE,
+            (false, _) => ASKED_WITHIN,
         }
     }
 
+    /// When a second try goes out beside the first, where calls are paid for.
+    pub fn second(&self) -> Option<Duration> {
+        self.silent.then_some(ASKED_SECOND)
+    }
+
     /// Commands that come before a first answer wait for it for so long: what discovery holds counts as told from
     /// the first moment of a process where lists are pushed.
     pub fn start_within(&self) -> Duration {
@@ -129,12 +120,7 @@
 
     /// An answer came.
     pub fn told(&mut self) {
-        (self.told, self.needed) = (true, 0);
-    }
-
-    /// Discovery is at another address from now on.
-    pub fn moved(&mut self) {
-        (self.told, self.needed) = (false, NEEDED_MOVED);
+        (self.told, self.silent) = (true, false);
     }
 
     /// How long after a free call that failed the next one goes out.
@@ -150,16 +136,11 @@
     /// spreads them. Guards, there too, against a silence that is noticed in time and mended too late.
     pub fn again(&mut self, ended: Ended) -> Option<Duration> {
         let stood = std::mem::take(&mut self.told);
-        if stood && ended != Ended::Broken {
-            self.needed = NEEDED;
-        }
-        let due = self.needed > 0;
-        self.needed = self.needed.saturating_sub(1);
+        self.silent = stood && ended == Ended::Silent;
         match (stood, ended) {
             (true, Ended::Silent) => Some(Duration::ZERO),
             (true, Ended::Spoilt) => Some(GAP),
-            _ if self.pushed => Some(self.gap(ended)),
-            _ => due.then(|| NEEDED_GAP.mul_f64(self.rng.gen_range(0.5..1.0))),
+            _ => self.pushed.then(|| self.gap(ended)),
         }
     }
 }
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -210,6 +210,12 @@
             return wrong("most-shares", "shares from 0 to 1 are wanted".into());
         }
     }
+    let limits = s.inner("limits")?;
+    for (of, key) in [(rules, "must-ask-in-ms"), (&limits, "dial-timeout-ms"), (&limits, "conn-idle-ms")] {
+        if of.number_or(key, 1.0)? <= 0.0 {
+            return wrong(key, "more than 0 is wanted".into());
+        }
+    }
     if rules.number_or("fall-multiple", 2.0)? < 1.0 {
         return wrong("fall-multiple", "1 or more is wanted".into());
     }
--- a/crates/deployment/tests/installation.rs
+++ b/crates/deployment/tests/installation.rs
@@ -56,6 +56,11 @@
     assert!(with("domain", "reported-share", json!(1.5)).starts_with("field reported-share: a share"));
     assert!(with("domain", "most-shares", json!([0.2, 7])).starts_with("field most-shares: shares"));
     assert_eq!(with("rules", "fall-multiple", json!(0.5)), "field fall-multiple: 1 or more is wanted");
+    for (of, key) in [("rules", "must-ask-in-ms"), ("limits", "dial-timeout-ms"), ("limits", "conn-idle-ms")]
+    {
+        assert_eq!(with(of, key, json!(0)), format!("field {key}: more than 0 is wanted"));
+        assert!(with(of, key, json!(-5)).starts_with(&format!("field {key}:")));
+    }
     let d = site().deployment;
     assert!(!d.warm_keys && !d.probes && !d.rollout.tallied && d.rollout.guarded_stages == 0);
     assert_eq!((d.fall_multiple, d.rollout.back_votes), (2.0, 1));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -170,11 +170,11 @@
     }
 
     /// A list call failed, or the watch broke: ask again, less and less often. Guards against a discovery
-    /// that all agents' calls keep overbooked. May delay a list that is back.
+    /// that all agents' calls keep overbooked, within the time in which it must be asked. May delay a list.
     pub fn list_failed(&mut self, now: Duration) {
         let gap = self.watch_gap.max(GAP).max(self.at.call_share() / 4);
         self.watch_at = Some(now + gap.mul_f64(0.7 + 0.6 * chance(&mut self.rng)));
-        self.watch_gap = (gap * 2).min(self.at.ask_within.unwrap_or_default().max(GAP));
+        self.watch_gap = (gap * 2).min((self.at.ask_within.unwrap_or_default() * 3 / 4).max(GAP));
     }
 
     /// What the platform says of the newest build.
