--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -251,7 +251,7 @@
     /// Keeps a connection for the next command, while its appliance still runs the same build there.
     pub fn keep(&self, target: Target, held: Held) {
         if self.target(target.appliance) == Some(target) {
-            self.pools.borrow_mut().put(self.clock.now(), target.appliance, held);
+            self.pools.borrow_mut().put(target.appliance, held);
         }
     }
 
--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -11,11 +11,13 @@
 use crate::wire::statement::Statement;
 use crate::wire::{malformed, Malformed};
 use futures_lite::future::{self, FutureExt};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a client beyond the limit has for its first command.
-const DENIED_WITHIN: Duration = Duration::from_millis(300);
+/// How long a client beyond the limit, or one that comes at the very end, has for its first command, and one that holds
+/// half a message for its rest while memory is short.
+const FIRST_WITHIN: Duration = Duration::from_millis(300);
 /// How soon a client that was held back is read again.
 const HELD_BACK: Duration = Duration::from_millis(5);
 
@@ -25,8 +27,12 @@
 /// How long, and how much, a client that was told of its end may still write.
 const HEARD_OUT: Duration = Duration::from_secs(1);
 const HEARD_OUT_MOST: usize = 1024 * 1024;
-/// Commands that may wait behind the one in hand; what a client writes beyond is denied at once.
+/// Commands that may wait behind the one in hand. With more of them it is denied at once: answers keep their order,
+/// so that one behind it could not be.
 const BEHIND_MOST: usize = 32;
+/// How long a client may leave what it was told unread, without taking in any of it. Guards places and the shutdown
+/// against clients that never read; a slow one goes on taking some.
+const TAKEN_WITHIN: Duration = Duration::from_secs(5);
 
 /// Serves a client until it leaves, breaks the protocol, or is idle when the agent needs it to go.
 pub async fn serve(agent: Rc<Agent>, mut client: Connection, _slot: Slot) {
@@ -70,7 +76,7 @@
                 false
             }
         };
-        if !reply.is_empty() && client.write(&reply).await.is_err() {
+        if !reply.is_empty() && tell(&agent, &mut client, &reply).await.is_err() {
             return;
         }
         if !go_on {
@@ -80,6 +86,28 @@
     }
 }
 
+/// Writes an answer, for as long as some of it is taken in now and then.
+async fn tell(agent: &Agent, client: &mut Connection, reply: &[u8]) -> std::io::Result<()> {
+    let traffic = client.traffic.clone();
+    let mut writing = pin!(client.write(reply));
+    loop {
+        let taken = traffic.written();
+        let late = async {
+            agent.until(agent.clock.now() + TAKEN_WITHIN).await;
+            None
+        };
+        match async { Some(writing.as_mut().await) }.or(late).await {
+            Some(outcome) => return outcome,
+            None if traffic.written() > taken => {}
+            None => {
+                agent.counters.clients_late.add();
+                log::info!("a client leaves its answers unread; it is let go");
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+        }
+    }
+}
+
 /// Serves a client for which there is no room up to its first command, which is denied: a retry is harmless.
 /// The connection is not closed before: that command would be taken and lost.
 pub async fn deny(agent: Rc<Agent>, mut client: Connection, _slot: Slot) {
@@ -103,7 +131,7 @@
         }
     };
     let late = async {
-        agent.until(agent.clock.now() + DENIED_WITHIN).await;
+        agent.until(agent.clock.now() + FIRST_WITHIN).await;
     };
     talk.or(late).await;
     finish(&agent, client).await;
@@ -112,7 +140,7 @@
 fn turn_away(client: &mut Connection, reply: &mut Vec<u8>) -> Result<Step, Malformed> {
     let Some((tag, body, took)) = postgres::message(client.inbox.unread())? else { return Ok(Step::More) };
     let empty = tag == b'Q' && matches!(body.trim_ascii(), b"\0" | b";\0");
-    client.inbox.consume(took);
+    client.consume(took);
     if empty {
         postgres::empty(reply);
         postgres::ready(reply);
@@ -126,6 +154,7 @@
 /// writes on and on is reset.
 async fn finish(agent: &Agent, mut client: Connection) {
     client.end();
+    client.arrivals = None;
     let heard = async {
         let mut heard = 0;
         client.inbox.consume(usize::MAX);
@@ -159,30 +188,50 @@
 
 /// Reads on, until `whole_by` where something is owed. Between commands the agent may end the connection.
 async fn more(agent: &Agent, client: &mut Connection, whole_by: Option<Duration>) -> More {
-    // Clients are held back while too much is buffered; answers of appliances keep the rest of the memory.
-    while Weight::held() > agent.buffers_most.get() {
-        Timer::after(HELD_BACK).await;
-    }
     let came = |read: std::io::Result<usize>| if read.is_ok_and(|n| n > 0) { More::Came } else { More::Over };
+    // Clients are held back while too much is buffered; answers of appliances keep the rest of the memory. Who holds
+    // half a message meanwhile has little time left for it: all would wait for each other.
+    let room = async {
+        while Weight::held() > agent.buffers_most.get() {
+            Timer::after(HELD_BACK).await;
+        }
+    };
+    let begun = !client.inbox.is_empty();
+    let short = begun && Weight::held() > agent.buffers_most.get();
     let late = async {
         match whole_by {
+            Some(at) if short => agent.until(at.min(agent.clock.now() + FIRST_WITHIN)).await,
             Some(at) => agent.until(at).await,
             None => future::pending().await,
         }
         More::Late
     };
-    if !client.inbox.is_empty() {
-        return async { came(client.more().await) }.or(late).await;
+    let idle = if begun { None } else { agent.life.idle(agent.clock.now(), whole_by.is_some()) };
+    let read = async {
+        room.or(client.ended()).await;
+        came(client.more().await)
+    };
+    if begun {
+        return read.or(late).await;
     }
-    let Some(mut idle) = agent.life.idle(agent.clock.now(), whole_by.is_some()) else {
-        // Time to go, but not past a command that has already come.
-        return if client.quiet() { More::Over } else { came(client.more().await) };
+    let Some(mut idle) = idle else {
+        // Time to go, but not past a command that has already come, nor past the first one that is on its way.
+        let owed = if whole_by.is_some() { FIRST_WITHIN } else { Duration::ZERO };
+        let late = async {
+            agent.until(agent.clock.now() + owed).await;
+            More::Late
+        };
+        return match read.or(late).await {
+            More::Late if client.quiet() => More::Over,
+            More::Late => came(client.more().await),
+            more => more,
+        };
     };
     let asked = async {
         (&mut idle.asked).await;
         More::Over
     };
-    match async { came(client.more().await) }.or(asked).or(late).await {
+    match read.or(asked).or(late).await {
         // A command that has come meanwhile is still served: closing would lose it.
         More::Over | More::Late if !client.quiet() => came(client.more().await),
         more => more,
@@ -191,9 +240,10 @@
 
 fn greet(client: &mut Connection, reply: &mut Vec<u8>) -> Result<Step, Malformed> {
     let Some((opening, took)) = postgres::opening(client.inbox.unread())? else { return Ok(Step::More) };
-    client.inbox.consume(took);
+    client.consume(took);
     Ok(match opening {
         Opening::Startup => {
+            client.note_arrivals();
             postgres::welcome(reply);
             Step::Open
         }
@@ -212,20 +262,19 @@
         b'X' => return Ok(Step::End),
         other => return malformed(format!("message '{}': only simple queries", other.escape_ascii())),
     };
-    let heard = agent.clock.at(client.heard);
     let word = text.split_whitespace().next().unwrap_or_default();
-    let flood = postgres::waiting(&client.inbox.unread()[took..], BEHIND_MOST) == BEHIND_MOST;
+    let flood = client.arrivals.as_ref().is_some_and(|a| a.waiting() > BEHIND_MOST);
     if word.is_empty() || word == ";" {
-        client.inbox.consume(took);
+        client.consume(took);
         // This answer tells the front that commands may come.
         agent.life.reached(Phase::Serving).await;
         postgres::empty(reply);
     } else if let Some(word) = ["SET", "RESET", "DISCARD"].iter().find(|w| word.eq_ignore_ascii_case(w)) {
-        client.inbox.consume(took);
+        client.consume(took);
         postgres::complete(reply, word);
     } else {
         let read = read(agent, text);
-        client.inbox.consume(took);
+        let heard = client.consume(took).map_or_else(|| agent.clock.now(), |at| agent.clock.at(at));
         let open = read.as_ref().ok().map(|(statement, _)| agent.hand.open(&statement.id));
         match read {
             Ok(_) if open.as_ref().is_some_and(Option::is_none) => {
@@ -236,6 +285,11 @@
                 agent.counters.floods.add();
                 postgres::denied(reply, None);
             }
+            // Its time outlasts the program's: another agent may serve it.
+            Ok((statement, _)) if agent.life.ends_before(heard + statement.wait) => {
+                agent.counters.denied.add();
+                postgres::denied(reply, None);
+            }
             Ok((statement, lane)) => match live(agent, client, statement, lane, heard).await {
                 Final::Satisfied(value) => {
                     agent.counters.satisfied.add();
--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -6,7 +6,7 @@
 use crate::reactor::Timer;
 use crate::wire::connection::Connection;
 use crate::wire::statement::Statement;
-use futures_lite::future::{self, poll_fn};
+use futures_lite::future::poll_fn;
 use std::future::Future;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -76,7 +76,7 @@
                     trial: false,
                     bound: ran && bound(agent, lane),
                 };
-                out.push(Some(send(agent, &statement, appliance, time_out, sending)));
+                out.push(Some(send(agent, &statement, id, appliance, time_out, sending)));
                 look = at.or(look);
             }
             Answer::NotYet { until } => look = Some(until),
@@ -112,7 +112,13 @@
             }
         };
     };
-    // What may not be withdrawn ends by itself, and the module hears of it.
+    // Nothing goes out for it from now on. What has gone and may not be withdrawn ends by itself, and the module
+    // hears of it.
+    for n in 0..out.len() {
+        if out[n].as_ref().is_some_and(|o| !o.meter.written.get()) {
+            end_unwritten(agent, id, &mut out, n);
+        }
+    }
     if out.iter().any(Option::is_some) {
         let shared = agent.clone();
         agent.tasks.spawn(async move { rest(&shared, id, out).await }).detach();
@@ -123,6 +129,7 @@
 fn send(
     agent: &Rc<Agent>,
     statement: &Rc<Statement>,
+    id: u64,
     appliance: usize,
     time_out: Duration,
     sending: Sending,
@@ -139,7 +146,8 @@
     if target.zone != agent.site.deployment.zone {
         agent.crossings();
     }
-    let order = Order { target, turn: agent.hand.turn(), give_up, held: agent.hold(appliance) };
+    let (turn, held) = (agent.hand.turn(), agent.hold(appliance));
+    let order = Order { id, nth: sending.nth, target, turn, give_up, held };
     let (agent, statement, on) = (agent.clone(), statement.clone(), meter.clone());
     Out {
         sent,
@@ -178,7 +186,17 @@
     }
 }
 
-/// What happens next to a command. Ends are told before time-outs: after a stall that is their order.
+/// Gives up a delivery that was not written whole.
+fn end_unwritten(agent: &Agent, id: u64, out: &mut [Option<Out>], delivery: usize) {
+    if let Some(o) = out[delivery].take() {
+        let sent = o.sent;
+        o.account(agent, Outcome::NotSent);
+        agent.hand.after(id, delivery, sent, Outcome::NotSent, true);
+    }
+}
+
+/// What happens next to a command. Ends are told before time-outs: after a stall that is their order. Before either
+/// comes a client that has left: a delivery's first look at its connection is also its first byte.
 async fn next(
     agent: &Agent,
     out: &mut [Option<Out>],
@@ -191,12 +209,12 @@
     let mut timer = pin!(Timer::at(agent.clock.instant(first)));
     let mut leaves = pin!(leaves(client));
     poll_fn(|cx| {
-        if let Some((n, sent, ended)) = ended(agent, out, cx) {
-            return Poll::Ready(Next::Ended(n, sent, ended));
-        }
         if leaves.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Next::Left);
         }
+        if let Some((n, sent, ended)) = ended(agent, out, cx) {
+            return Poll::Ready(Next::Ended(n, sent, ended));
+        }
         timer.as_mut().poll(cx).map(|()| match late(agent, out, first) {
             Some((n, sent, ended)) => Next::Ended(n, sent, ended),
             None if look.take_if(|at| *at <= first).is_some() => Next::Look,
@@ -227,14 +245,15 @@
     None
 }
 
-/// Ready once the client closes its connection. What it writes ahead is kept, up to a bound.
+/// Ready once the client closes its connection, or ends its sending, which cannot be told apart. What it writes ahead
+/// is kept, up to a bound, beyond which its end is still seen.
 async fn leaves(client: &mut Connection) {
     while client.inbox.len() <= AHEAD_MOST {
         if client.more().await.map_or(true, |n| n == 0) {
             return;
         }
     }
-    future::pending().await
+    client.ended().await;
 }
 
 /// Hears out the deliveries of a command that has its final answer.
--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -21,6 +21,9 @@
 
 /// What was decided, and the news it was decided on.
 pub struct Order {
+    /// Its command, and which of that command's deliveries it is.
+    pub id: u64,
+    pub nth: usize,
     pub target: Target,
     pub turn: u64,
     pub give_up: Duration,
@@ -48,12 +51,14 @@
         meter.on(held.connection.traffic.clone());
         // It may have waited for its connection: nothing goes out that would be decided otherwise by now.
         let listed = agent.target(order.target.appliance) == Some(order.target);
-        if !listed || !agent.hand.stands(order.target.build, order.turn) {
+        let stands = agent.hand.stands(order.target.build, order.turn);
+        if !listed || !stands || !agent.hand.holds(order.id, order.nth) {
             agent.keep(order.target, held);
             return none(Outcome::NotSent);
         }
         let wait = order.give_up.saturating_sub(agent.clock.now());
         let query = postgres::query(&statement.with_wait(wait));
+        held.asked(agent.clock.now());
         match held.connection.write(&query).await {
             Ok(()) => {}
             // The appliance closed it as the command went out: not all of it was written, so it never ran.
@@ -82,7 +87,10 @@
     };
     match ended {
         // What comes behind an answer belongs to nobody, and would be heard as the next command's.
-        Ok(()) if held.connection.inbox.is_empty() => agent.keep(order.target, held),
+        Ok(()) if held.connection.inbox.is_empty() => {
+            held.answered(agent.clock.now());
+            agent.keep(order.target, held);
+        }
         Ok(()) => agent.counters.unasked.add(),
         Err(Heard::Garbage(m)) => {
             meter.flaw.set(Flaw::Spoilt);
@@ -176,7 +184,7 @@
             _ => Err(Outcome::NoConnection),
         }
     };
-    let opened = opening.or(late).await.map(|connection| Held::new(connection, slot));
+    let opened = opening.or(late).await.map(|c| Held::new(c, slot, agent.clock.now()));
     if opened.is_ok() {
         toll.charge(true);
     }
--- a/crates/agent/src/lifecycle/life.rs
+++ b/crates/agent/src/lifecycle/life.rs
@@ -34,6 +34,8 @@
     awaited: Cell<usize>, // parties not yet heard at their new addresses
     idle: RefCell<BTreeMap<(Duration, u64), Event>>, // clients between commands, the first to go first
     idled: Cell<u64>,
+    ends: Cell<Option<Duration>>, // when the program does, known once it closes
+    shut: Cell<bool>,             // the listener: all that had connected are taken in
 }
 
 /// A client's time between two commands; it may be asked to end its connection.
@@ -57,6 +59,8 @@
             awaited: Cell::default(),
             idle: RefCell::default(),
             idled: Cell::default(),
+            ends: Cell::default(),
+            shut: Cell::default(),
         }
     }
 
@@ -91,6 +95,32 @@
         }
     }
 
+    /// No new clients from now on, and at this time the program ends, whatever is in hand.
+    pub fn close(&self, ends: Duration) {
+        if self.ends.get().is_none() {
+            self.ends.set(Some(ends));
+            self.reach(Phase::Closing);
+        }
+    }
+
+    /// Whether the program will have ended at this time.
+    pub fn ends_before(&self, at: Duration) -> bool {
+        self.ends.get().is_some_and(|ends| ends < at)
+    }
+
+    pub fn closes(&self) -> bool {
+        self.phase.get() >= Phase::Closing
+    }
+
+    /// All that had connected are taken in, and nobody else can.
+    pub fn shut(&self) {
+        self.shut.set(true);
+    }
+
+    pub fn is_shut(&self) -> bool {
+        self.shut.get()
+    }
+
     pub async fn reached(&self, phase: Phase) {
         while self.phase.get() < phase {
             self.changed.listen().await;
--- a/crates/agent/src/lifecycle/signals.rs
+++ b/crates/agent/src/lifecycle/signals.rs
@@ -53,9 +53,9 @@
             agent.life.reach(Phase::Leaving);
         }
         if let Some(closes) = asked.map(|at| at + LEAVING).filter(|at| now >= *at) {
-            agent.life.reach(Phase::Closing);
             let last = closes + agent.site.longest_expiry.max(LEAST_EXPIRY);
-            if agent.sockets.clients() == 0 || now >= last {
+            agent.life.close(last);
+            if agent.life.is_shut() && agent.sockets.nobody() || now >= last {
                 return agent.life.reach(Phase::Stopped);
             }
         }
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -169,6 +169,11 @@
         turn == self.turns.get() || self.news.borrow().as_ref().is_some_and(|n| build < n.build)
     }
 
+    /// Whether a delivery that was decided may still be written.
+    pub fn holds(&self, id: u64, delivery: usize) -> bool {
+        self.choice.borrow().holds(self.clock.now(), id, delivery)
+    }
+
     pub fn flag(&self, appliance: usize, lane: usize, age: Duration) {
         self.choice.borrow_mut().flag(self.clock.now(), appliance, lane, age);
     }
--- a/crates/agent/src/memory/pools.rs
+++ b/crates/agent/src/memory/pools.rs
@@ -77,6 +77,11 @@
         self.clients.held.get()
     }
 
+    /// No client is connected, nor one that is only told that there is no place.
+    pub fn nobody(&self) -> bool {
+        self.clients.held.get() + self.beyond.held.get() == 0
+    }
+
     pub fn client(&self) -> Option<Slot> {
         self.clients.slot()
     }
@@ -104,25 +109,39 @@
     }
 }
 
+/// What belongs to nobody may come behind an answer, some milliseconds late: a connection that was answered on rests
+/// for so long, as the next command's answer would be taken from it. Costs a connection more where commands follow
+/// each other faster.
+const RESTS: Duration = Duration::from_millis(20);
+
 /// A connection to an appliance, with its place among the sockets.
 pub struct Held {
     pub connection: Connection,
+    /// Its idle time began no sooner: when it was opened, or its last command written. By the appliance's clock it may
+    /// have begun before this agent, which may have stood still, heard the answer.
+    since: Duration,
+    rests_until: Duration,
     _slot: Slot,
 }
 
 impl Held {
-    pub fn new(connection: Connection, slot: Slot) -> Held {
-        Held { connection, _slot: slot }
+    pub fn new(connection: Connection, slot: Slot, now: Duration) -> Held {
+        Held { connection, since: now, rests_until: now, _slot: slot }
     }
-}
 
-struct Idle {
-    held: Held,
-    since: Duration,
+    /// A command goes out on it.
+    pub fn asked(&mut self, now: Duration) {
+        self.since = now;
+    }
+
+    /// Its answer has come whole.
+    pub fn answered(&mut self, now: Duration) {
+        self.rests_until = now + RESTS;
+    }
 }
 
 pub struct Pools {
-    idle: Vec<VecDeque<Idle>>, // by appliance, the longest idle first
+    idle: Vec<VecDeque<Held>>, // by appliance, in the order they came
     idle_most: Duration,
 }
 
@@ -132,28 +151,25 @@
         Pools { idle: Vec::new(), idle_most: idle_most.mul_f64(0.8) }
     }
 
-    /// An open connection, the longest idle first: what came behind its last answer has arrived by now. With
-    /// how many were found closed.
+    /// An open connection that has rested, the longest idle first. With how many were found closed.
     pub fn take(&mut self, now: Duration, appliance: usize) -> (Option<Held>, usize) {
         let Some(pool) = self.idle.get_mut(appliance) else { return (None, 0) };
         let mut closed = 0;
-        while let Some(idle) = pool.pop_front() {
-            if now >= idle.since + self.idle_most {
-                continue;
-            }
-            if idle.held.connection.quiet() {
-                return (Some(idle.held), closed);
+        while let Some(rested) = pool.iter().position(|held| now >= held.rests_until) {
+            match pool.remove(rested).filter(|held| now < held.since + self.idle_most) {
+                Some(held) if held.connection.quiet() => return (Some(held), closed),
+                Some(_) => closed += 1,
+                None => {}
             }
-            closed += 1;
         }
         (None, closed)
     }
 
-    pub fn put(&mut self, now: Duration, appliance: usize, held: Held) {
+    pub fn put(&mut self, appliance: usize, held: Held) {
         if self.idle.len() <= appliance {
             self.idle.resize_with(appliance + 1, VecDeque::new);
         }
-        self.idle[appliance].push_back(Idle { held, since: now });
+        self.idle[appliance].push_back(held);
     }
 
     /// Closes all that wait for this appliance.
@@ -165,10 +181,10 @@
     pub fn sweep(&mut self, now: Duration) -> usize {
         let mut closed = 0;
         for pool in &mut self.idle {
-            pool.retain(|idle| {
-                let quiet = idle.held.connection.quiet();
+            pool.retain(|held| {
+                let quiet = held.connection.quiet();
                 closed += usize::from(!quiet);
-                quiet && now < idle.since + self.idle_most
+                quiet && now < held.since + self.idle_most
             });
         }
         closed
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -20,6 +20,10 @@
 const WATCH_EVERY: Duration = Duration::from_secs(60);
 const ROOM_AGAIN: Duration = Duration::from_millis(20);
 
+/// A start counts as done after so long, half of what nine in ten of them may take, whatever is still awaited: a list,
+/// or connections to appliances that hang or come up late. What cannot be served yet is denied then.
+const READY_WITHIN: Duration = Duration::from_secs(5);
+
 /// Runs one agent until it is told to leave; whether it ended as it should. `form` is that of its log, where the
 /// installation's own does not count.
 pub fn run(files: Files, form: Option<LogForm>) -> bool {
@@ -59,18 +63,27 @@
         agent.tasks.spawn(async move { signals::obey(&a, signals, &files).await }).detach();
         let a = agent.clone();
         let ready = async move {
-            a.until(a.clock.now() + Vigil::new(&a.site.deployment).start_within()).or(a.may_serve()).await;
-            a.heard();
-            delivery::warm(&a).await;
+            let warm = async {
+                a.until(a.clock.now() + Vigil::new(&a.site.deployment).start_within())
+                    .or(a.may_serve())
+                    .await;
+                a.heard();
+                delivery::warm(&a).await;
+            };
+            warm.or(a.until(a.clock.now() + READY_WITHIN)).await;
             a.life.reach(Phase::Serving);
         };
         agent.tasks.spawn(ready).detach();
         let (a, l) = (agent.clone(), listener.clone());
         let accepting = agent.tasks.spawn(async move { accept(&a, &l).await });
-        agent.life.reached(Phase::Closing).await;
-        accepting.cancel().await.transpose()?;
-        drain(&agent, &listener);
+        // It ends once the program closes and nobody waits to be taken in any more.
+        let stopped = async {
+            agent.life.reached(Phase::Stopped).await;
+            Ok(())
+        };
+        accepting.or(stopped).await?;
         drop(listener);
+        agent.life.shut();
         agent.life.reached(Phase::Stopped).await;
         if let Some(door) = door {
             // Its socket's file goes with it.
@@ -85,7 +98,8 @@
 
 /// Takes clients in. Without a free descriptor the client that was idle for longest is asked to go, and who
 /// comes before there is room is denied at once. Guards against commands that are lost in the queue of
-/// connections, which count as taken; a short rush beyond the limit is denied, too.
+/// connections, which count as taken; a short rush beyond the limit is denied, too. Ends when the program closes and
+/// all that had connected before are in.
 async fn accept(agent: &Rc<Agent>, listener: &Source<TcpListener>) -> io::Result<()> {
     loop {
         let mut slot = agent.sockets.client();
@@ -97,7 +111,21 @@
             agent.sockets.client_gone().or(Timer::after(ROOM_AGAIN)).await;
             continue;
         }
-        match listener.read(|| Connection::accept(listener.get())).await {
+        let closing = async {
+            agent.life.reached(Phase::Closing).await;
+            None
+        };
+        let next = async { Some(listener.read(|| Connection::accept(listener.get())).await) };
+        let accepted = match agent.life.closes() {
+            // Asked of the listener itself: the event of who connected just now may be still to come.
+            true => Connection::accept(listener.get()),
+            false => match next.or(closing).await {
+                Some(accepted) => accepted,
+                None => continue,
+            },
+        };
+        match accepted {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
             Ok(client) => {
                 slot = slot.or_else(|| agent.sockets.client());
                 match (slot, beyond) {
@@ -126,14 +154,6 @@
     agent.tasks.spawn(client::serve(agent.clone(), client, slot)).detach();
 }
 
-/// Takes in those that had connected before the listener closes: their commands count as taken.
-fn drain(agent: &Rc<Agent>, listener: &Source<TcpListener>) {
-    while let Some(slot) = agent.sockets.client() {
-        let Ok(client) = Connection::accept(listener.get()) else { break };
-        welcome(agent, client, slot);
-    }
-}
-
 /// Asks the module what is due, when it says so.
 async fn watch(agent: &Agent) {
     let (mut swept, mut said) = (Duration::ZERO, agent.clock.now());
--- a/crates/agent/src/reactor.rs
+++ b/crates/agent/src/reactor.rs
@@ -39,7 +39,7 @@
 struct Readiness {
     read: Side,
     write: Side,
-    ended: Cell<bool>, // the other side will send no more
+    ended: Side, // the other side will send no more
 }
 
 #[derive(Default)]
@@ -98,7 +98,7 @@
             let Some(source) = source else { continue };
             let ended = EventFlags::HUP | EventFlags::ERR;
             if flags.intersects(EventFlags::RDHUP | ended) {
-                source.ended.set(true);
+                source.ended.set();
             }
             if flags.intersects(EventFlags::IN | EventFlags::RDHUP | ended) {
                 source.read.set();
@@ -179,12 +179,17 @@
 
     /// All that had come was read. What comes from now on is a new event; an end told before is not.
     pub fn drained(&self) {
-        self.readiness.read.ready.set(self.readiness.ended.get());
+        self.readiness.read.ready.set(self.readiness.ended.ready.get());
     }
 
     pub async fn write<T>(&self, work: impl FnMut() -> io::Result<T>) -> io::Result<T> {
         wait(&self.readiness.write, work).await
     }
+
+    /// Ready once the other side has ended its sending, whatever it sent before and was not read.
+    pub async fn ended(&self) {
+        std::future::poll_fn(|cx| self.readiness.ended.poll(cx)).await;
+    }
 }
 
 async fn wait<T>(side: &Side, mut work: impl FnMut() -> io::Result<T>) -> io::Result<T> {
--- a/crates/agent/src/wire/connection.rs
+++ b/crates/agent/src/wire/connection.rs
@@ -1,5 +1,6 @@
 //! A TCP connection with its buffer.
 
+use super::arrivals::Arrivals;
 use super::buffer::Buffer;
 use crate::reactor::Source;
 use rustix::net::{AddressFamily, SocketFlags, SocketType};
@@ -18,6 +19,10 @@
 }
 
 impl Traffic {
+    pub fn written(&self) -> u64 {
+        self.out.get()
+    }
+
     /// Bytes written and read since this was asked last.
     pub fn charge(&self) -> (u64, u64) {
         let (all, before) = ((self.out.get(), self.back.get()), self.charged.get());
@@ -30,8 +35,8 @@
     source: Source<TcpStream>,
     pub inbox: Buffer,
     pub traffic: Rc<Traffic>,
-    /// When something last came in.
-    pub heard: Instant,
+    /// When each message that is unread was whole, where that is wanted.
+    pub arrivals: Option<Arrivals>,
 }
 
 impl Connection {
@@ -39,7 +44,7 @@
         // An answer must not wait for more to fill a segment; a socket that cannot do this still serves.
         let _ = stream.set_nodelay(true);
         let (source, inbox, traffic) = (Source::new(stream)?, Buffer::default(), Rc::default());
-        Ok(Connection { source, inbox, traffic, heard: Instant::now() })
+        Ok(Connection { source, inbox, traffic, arrivals: None })
     }
 
     pub async fn open(address: SocketAddr) -> io::Result<Connection> {
@@ -83,7 +88,9 @@
         if got.as_ref().is_ok_and(|n| *n < room_for.get()) {
             source.drained();
         }
-        self.heard = Instant::now();
+        if let Some(arrivals) = &mut self.arrivals {
+            arrivals.note(self.inbox.unread(), Instant::now());
+        }
         self.traffic.back.set(self.traffic.back.get() + *got.as_ref().unwrap_or(&0) as u64);
         got
     }
@@ -104,6 +111,24 @@
         Ok(())
     }
 
+    /// From now on it is noted when each message was whole.
+    pub fn note_arrivals(&mut self) {
+        let mut arrivals = Arrivals::default();
+        arrivals.note(self.inbox.unread(), Instant::now());
+        self.arrivals = Some(arrivals);
+    }
+
+    /// The first message, of so many bytes, is done with: when it was whole, where that was noted.
+    pub fn consume(&mut self, bytes: usize) -> Option<Instant> {
+        self.inbox.consume(bytes);
+        self.arrivals.as_mut()?.took(bytes)
+    }
+
+    /// Ready once the other side has ended its sending, or all of the connection.
+    pub async fn ended(&self) {
+        self.source.ended().await;
+    }
+
     /// Says that nothing more will be written here.
     pub fn end(&self) {
         let _ = self.source.get().shutdown(Shutdown::Write);
--- a/crates/agent/src/wire/mod.rs
+++ b/crates/agent/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! What is spoken: PostgreSQL v3 to clients and appliances, HTTP/1.1 to discovery, JSON-RPC to the platform.
 //! The parsers are pure over bytes and bounded; the kit's words end here.
 
+pub mod arrivals;
 pub mod buffer;
 pub mod connection;
 pub mod http;
--- a/crates/agent/src/wire/postgres.rs
+++ b/crates/agent/src/wire/postgres.rs
@@ -59,15 +59,6 @@
     Ok(bytes.get(5..1 + length).map(|body| (*tag, body, 1 + length)))
 }
 
-/// How many whole messages wait, counted up to `most`.
-pub fn waiting(mut bytes: &[u8], most: usize) -> usize {
-    let mut count = 0;
-    while let (true, Ok(Some((_, _, took)))) = (count < most, message(bytes)) {
-        (count, bytes) = (count + 1, &bytes[took..]);
-    }
-    count
-}
-
 fn put(out: &mut Vec<u8>, tag: u8, body: &[u8]) {
     out.push(tag);
     out.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
--- /dev/null
+++ b/crates/agent/tests/crossing.rs
@@ -0,0 +1,548 @@
+//! Where two events cross: each case forces them to, with stand-ins that come late or an agent that stands still, and
+//! is judged by what clients and appliances saw.
+
+use rustix::process::Signal;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use tulipwall_standins::appliance::Link;
+use tulipwall_standins::ground::{until, SOON};
+use tulipwall_standins::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_tulipwall-agent");
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn acts(act: Act) -> Ways {
+    Ways { act, ..Ways::default() }
+}
+
+fn works(time: u64) -> Ways {
+    Ways { work: ms(time), ..Ways::default() }
+}
+
+fn world(ways: &[Ways]) -> World {
+    let world = World::new(&["a"], program::lanes()).unwrap();
+    for (n, ways) in ways.iter().enumerate() {
+        world.appliance(0, &format!("s-{n}"), 41, ways.clone()).unwrap();
+    }
+    world
+}
+
+/// Starts an agent after a change of its configuration.
+fn start(world: &World, change: impl FnOnce(&mut serde_json::Value)) -> Program {
+    let mut configuration = world.configuration("n1", 0).unwrap();
+    change(&mut configuration);
+    Program::start(BINARY, configuration, &[]).unwrap()
+}
+
+/// Without room for connections kept ahead, and with time for those that come up late: each delivery opens its own.
+fn opens_late(c: &mut serde_json::Value) {
+    c["limits"]["sockets"] = 26.into();
+    c["settings"]["limits"]["dial-timeout-ms"] = 2000.into();
+}
+
+fn as_it_is(_: &mut serde_json::Value) {}
+
+/// The connections to this appliance come up so much later.
+fn late(world: &World, id: &str, time: u64) {
+    world.get(id).unwrap().link(0, Link { back: ms(time), ..Link::default() });
+}
+
+fn caller(agent: &Program) -> Caller {
+    Caller::connect(agent.address().unwrap()).unwrap()
+}
+
+fn seen(world: &World, id: &str) -> usize {
+    world.get(id).unwrap().seen_count()
+}
+
+fn view(id: &str, wait: u32) -> String {
+    format!("SELECT body FROM objects WHERE oid = 'a1' /* id={id},c=view,d={wait} */")
+}
+
+/// A client that connects without waiting for anything, and writes this at once.
+fn eager(agent: &Program, bytes: &[u8]) -> Caller {
+    let mut stream = TcpStream::connect(agent.address().unwrap()).unwrap();
+    stream.set_read_timeout(Some(SOON)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.write_all(bytes).unwrap();
+    Caller { stream }
+}
+
+/// The code of its first answer, nothing for a value; an error where its connection ended without one.
+fn first_answer(client: &mut Caller) -> std::io::Result<Option<String>> {
+    loop {
+        match client.message()? {
+            (b'E', body) => return Ok(pg::field(&body, b'C')),
+            (b'D', _) => return Ok(None),
+            _ => {}
+        }
+    }
+}
+
+/// SIGTERM has come, and the agent stands still from just before it closes until just after it should have.
+fn across_the_close(agent: &Program, crosses: impl FnOnce()) {
+    agent.terminate().unwrap();
+    assert!(until(|| agent.log().contains("phase: Leaving")));
+    sleep(ms(400));
+    agent.signal(Signal::STOP).unwrap();
+    crosses();
+    sleep(ms(250));
+    assert!(!agent.log().contains("phase: Closing"), "it stood still before it closed");
+    agent.signal(Signal::CONT).unwrap();
+}
+
+// Clients that go.
+
+#[test]
+fn nothing_is_sent_for_a_client_that_left_while_the_connection_of_its_first_delivery_came_up() {
+    let world = world(&[works(0)]);
+    late(&world, "s-0", 300);
+    let agent = start(&world, opens_late);
+    let mut client = caller(&agent);
+    client.ask("view", 1400);
+    sleep(ms(100));
+    drop(client);
+    sleep(ms(700));
+    assert_eq!(seen(&world, "s-0"), 0);
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_left_as_its_command_came() {
+    let world = world(&[works(0)]);
+    let agent = start(&world, as_it_is);
+    let clients: Vec<_> = (0..20).map(|_| caller(&agent)).collect();
+    agent.stall(true).unwrap();
+    for mut client in clients {
+        client.ask("view", 1400);
+    }
+    sleep(ms(50));
+    agent.stall(false).unwrap();
+    let mut other = caller(&agent);
+    other.ask_as("other", "view", 1400);
+    assert_eq!(other.told().unwrap().code(), None);
+    sleep(ms(100));
+    assert_eq!(seen(&world, "s-0"), 1, "only of the one that stayed");
+}
+
+/// More written ahead than is read ahead: its end is behind it.
+#[test]
+fn nothing_more_is_sent_for_a_client_that_left_behind_a_queue_of_its_own_statements() {
+    let world = world(&[works(500)]);
+    let agent = start(&world, as_it_is);
+    let mut client = caller(&agent);
+    client.ask_as("first", "payment", 1400);
+    assert!(until(|| seen(&world, "s-0") == 1));
+    // Few enough statements for none to be a flood.
+    let object = "a".repeat(4000);
+    for n in 0..20 {
+        client
+            .say(&format!("SELECT body FROM objects WHERE oid = '{object}' /* id=q{n},c=payment,d=1400 */"));
+    }
+    drop(client);
+    sleep(ms(1200));
+    assert_eq!(seen(&world, "s-0"), 1);
+}
+
+/// On the wire it is the same as closing, and the page says of closing that the client has gone.
+#[test]
+fn who_ends_only_its_sending_has_gone() {
+    let world = world(&[works(0)]);
+    late(&world, "s-0", 300);
+    let agent = start(&world, opens_late);
+    let mut client = caller(&agent);
+    client.ask("view", 1400);
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    let mut rest = Vec::new();
+    client.stream.read_to_end(&mut rest).unwrap();
+    assert!(rest.is_empty(), "no answer, and its connection is closed");
+    sleep(ms(500));
+    assert_eq!(seen(&world, "s-0"), 0);
+}
+
+// Decision and first byte.
+
+/// Whichever appliance comes first: the one that answers, or the one whose connection comes up behind the answer.
+#[test]
+fn nothing_is_written_for_a_second_copy_whose_connection_comes_up_after_the_final_answer() {
+    let world = world(&[works(400), works(400)]);
+    late(&world, "s-1", 900);
+    let agent = start(&world, opens_late);
+    let mut client = caller(&agent);
+    client.ask("view", 1400);
+    assert_eq!(client.told().unwrap().code(), None);
+    sleep(ms(1000));
+    assert_eq!((seen(&world, "s-0"), seen(&world, "s-1")), (1, 0));
+}
+
+#[test]
+fn a_connection_that_comes_up_after_the_clients_time_carries_nothing() {
+    let world = world(&[works(0)]);
+    late(&world, "s-0", 300);
+    let agent = start(&world, opens_late);
+    let mut client = caller(&agent);
+    client.ask("payment", 500);
+    sleep(ms(50));
+    // The agent stands still until both the connection is up and the time is over.
+    agent.stall(true).unwrap();
+    sleep(ms(700));
+    agent.stall(false).unwrap();
+    assert!(client.told().unwrap().code().is_some());
+    sleep(ms(100));
+    assert_eq!(seen(&world, "s-0"), 0);
+}
+
+#[test]
+fn a_pipelined_statement_keeps_the_time_of_its_own_arrival() {
+    let world = world(&[works(600)]);
+    let agent = start(&world, as_it_is);
+    let mut client = caller(&agent);
+    client.ask_as("first", "payment", 2000);
+    client.ask_as("second", "payment", 300);
+    assert!(until(|| seen(&world, "s-0") == 1));
+    sleep(ms(300));
+    client.ask_as("third", "payment", 2000);
+    let codes = [(); 3].map(|()| client.told().unwrap().code());
+    assert_eq!(codes, [None, Some("53300".into()), None]);
+    let sent: Vec<_> = world.get("s-0").unwrap().seen().into_iter().map(|s| s.id).collect();
+    assert_eq!(sent, ["first", "third"], "the second one's time was over before its turn");
+}
+
+/// One appliance loses its answers, the connections to the other come up after the group has forgotten the repeat.
+#[test]
+fn a_deduplicated_repeat_whose_group_has_forgotten_is_not_sent_and_answered_at_once() {
+    let world = world(&[acts(Act::Resets), works(0)]);
+    late(&world, "s-1", 600);
+    let agent = start(&world, |c| {
+        opens_late(c);
+        c["settings"]["classes"][1]["window-ms"] = 300.into();
+    });
+    let mut crossed = 0;
+    for n in 0..12 {
+        let mut client = caller(&agent);
+        let begun = Instant::now();
+        let comment = format!("id=d{n},c=send,d=1900,k=key{n}");
+        client.say(&format!(
+            "INSERT INTO objects (oid, body) VALUES ('a', '\\x00') RETURNING body /* {comment} */"
+        ));
+        let code = client.told().unwrap().code();
+        let took = begun.elapsed();
+        let at =
+            |id: &str| world.get(id).unwrap().seen().iter().find(|s| s.id == format!("d{n}")).map(|s| s.at);
+        match (at("s-0"), at("s-1")) {
+            (Some(first), Some(repeat)) => assert!(repeat < first + ms(300), "{:?} later", repeat - first),
+            (Some(_), None) => {
+                // Lost there: nothing says that a retry is harmless, and nothing is waited for.
+                assert_eq!(code, Some("XX000".into()));
+                assert!(took < ms(1300), "answered after {took:?}");
+                crossed += 1;
+            }
+            _ => {}
+        }
+    }
+    assert!(crossed > 0, "some went to the one that loses answers first");
+}
+
+/// Its connection ends right behind each answer, as the next command is on its way.
+#[test]
+fn an_unrepeatable_command_on_a_connection_that_closes_under_it_runs_once_at_most() {
+    for act in [Act::EndsAfter, Act::Resets] {
+        let world = world(&[acts(act)]);
+        let agent = start(&world, as_it_is);
+        let mut client = caller(&agent);
+        for n in 0..40 {
+            client.ask_as(&format!("p{n}"), "payment", 1000);
+            let code = client.told().unwrap().code();
+            let ran = world.seen().get(&format!("p{n}")).map_or(0, Vec::len);
+            match code.as_deref() {
+                None => assert_eq!(ran, 1),
+                Some("53300") => assert_eq!(ran, 0, "a denial says that it never ran"),
+                other => assert!(ran <= 1, "{ran} runs, {other:?}"),
+            }
+        }
+    }
+}
+
+// Answers.
+
+#[test]
+fn a_second_answer_some_milliseconds_late_is_nobodys() {
+    for gap in [1, 4, 9] {
+        let world = world(&[acts(Act::TwiceAfter(gap))]);
+        // Room for one connection, which would be the next command's.
+        let agent = start(&world, opens_late);
+        let mut client = caller(&agent);
+        for n in 0..30 {
+            client.ask("payment", 1000);
+            assert_eq!(client.told().unwrap(), Told::Value(vec![0x9f, 3]), "command {n}, {gap} ms");
+        }
+    }
+}
+
+#[test]
+fn an_answer_cut_at_any_byte_is_no_value_until_its_command_is_complete() {
+    let world = world(&[works(0)]);
+    let agent = start(&world, as_it_is);
+    let whole = pg::value(&[0x9f, 3]).len();
+    let ready = pg::ready().len();
+    for cut in 0..whole {
+        world.get("s-0").unwrap().ways(|w| w.act = Act::Cut(cut as u16));
+        let mut client = caller(&agent);
+        // So many failures may have it denied, unrun: then it is asked again.
+        let (id, told) = (0..200)
+            .map(|n| {
+                let id = format!("c{cut}-{n}");
+                client.ask_as(&id, "payment", 1000);
+                (id, client.told().unwrap())
+            })
+            .find(|(id, told)| !matches!(told, Told::Denied(..)) || world.seen().contains_key(id))
+            .unwrap();
+        if cut < whole - ready {
+            assert_eq!(told.code().as_deref(), Some("XX000"), "cut at {cut}");
+        } else {
+            assert_eq!(told, Told::Value(vec![0x9f, 3]), "cut at {cut}");
+        }
+        assert_eq!(world.seen()[&id].len(), 1);
+    }
+}
+
+#[test]
+fn an_answer_that_trickles_is_the_value_or_a_failure_within_the_clients_time() {
+    let world = world(&[acts(Act::Trickles(10)), acts(Act::Trickles(40))]);
+    let agent = start(&world, as_it_is);
+    for n in 0..8 {
+        let mut client = caller(&agent);
+        let begun = Instant::now();
+        client.ask_as(&format!("t{n}"), "payment", 1200);
+        match client.told().unwrap() {
+            Told::Value(value) => assert_eq!(value, [0x9f, 3]),
+            other => assert_eq!(other.code().as_deref(), Some("XX000")),
+        }
+        assert!(begun.elapsed() < ms(1700));
+    }
+}
+
+// Slow clients, and many.
+
+/// Each holds more of the memory than its share: none of them, nor anybody else, may wait for the others for good.
+#[test]
+fn clients_that_hold_half_a_message_each_keep_nobody_from_being_served() {
+    let world = world(&[works(0)]);
+    let agent = start(&world, |c| c["limits"]["memory_mb"] = 32.into());
+    let mut good = caller(&agent);
+    let half = [&pg::startup()[..], b"Q\x00\x02\x00\x00", &vec![b' '; 100_000]].concat();
+    let mut halves: Vec<_> = (0..300)
+        .map(|_| {
+            let mut stream = TcpStream::connect(agent.address().unwrap()).unwrap();
+            stream.set_nonblocking(true).unwrap();
+            let _ = stream.write(&half);
+            stream
+        })
+        .collect();
+    let begun = Instant::now();
+    // Each goes on, a byte at a time: whoever is read again waits for room, which the others hold.
+    for _ in 0..5 {
+        sleep(ms(50));
+        halves.iter_mut().for_each(|stream| drop(stream.write(b" ")));
+    }
+    for _ in 0..5 {
+        good.ask("view", 15_000);
+        assert_eq!(good.told().unwrap().code(), None);
+    }
+    let mut new = caller(&agent);
+    new.ask("view", 15_000);
+    assert_eq!(new.told().unwrap().code(), None);
+    assert!(begun.elapsed() < ms(4000), "served after {:?}", begun.elapsed());
+    drop(halves);
+    let status = std::fs::read_to_string(format!("/proc/{}/status", agent.id())).unwrap();
+    let peak = status
+        .lines()
+        .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+    assert!(peak.unwrap() < 32 * 1024, "{peak:?} kB at most");
+}
+
+#[test]
+fn a_client_that_never_reads_is_let_go_and_one_that_reads_and_writes_a_byte_at_a_time_is_served() {
+    let world = world(&[Ways { value: 60_000, ..Ways::default() }]);
+    let agent = start(&world, as_it_is);
+    let mut deaf = caller(&agent);
+    for n in 0..400 {
+        deaf.ask_as(&format!("n{n}"), "view", 60_000);
+        sleep(ms(2));
+    }
+    let mut slow = caller(&agent);
+    for byte in pg::query(&view("slow", 2000)) {
+        slow.stream.write_all(&[byte]).unwrap();
+        sleep(ms(3));
+    }
+    let mut byte = [0; 1];
+    for _ in 0..200 {
+        slow.stream.read_exact(&mut byte).unwrap();
+        sleep(ms(3));
+    }
+    let mut other = caller(&agent);
+    other.ask("view", 1000);
+    assert_eq!(other.told().unwrap().code(), None);
+    // Long after it was let go, it reads: what it gets ends before its last answer.
+    assert!(until(|| agent.log().contains("leaves its answers unread")));
+    let ends = (0..400).any(|_| deaf.told().is_err());
+    assert!(ends);
+}
+
+/// Each is answered once and in its order, whatever is denied of a flood, faulty, or too late.
+#[test]
+fn a_flood_is_answered_once_each_and_in_order() {
+    let world = world(&[works(20)]);
+    let agent = start(&world, as_it_is);
+    let mut client = caller(&agent);
+    let mut all = Vec::new();
+    for n in 0..200 {
+        all.extend(pg::query(&match n % 5 {
+            0 => "nonsense".to_owned(),
+            1 => String::new(),
+            _ => view(&format!("f{n}"), 900),
+        }));
+    }
+    client.stream.write_all(&all).unwrap();
+    for n in 0..200 {
+        let heard = client.until_ready().unwrap();
+        let tags: Vec<u8> = heard.iter().map(|(tag, _)| *tag).collect();
+        let code = heard.iter().find(|(tag, _)| *tag == b'E').and_then(|(_, body)| pg::field(body, b'C'));
+        match n % 5 {
+            0 => assert_eq!(code.as_deref(), Some("42601"), "{n}"),
+            1 => assert_eq!(tags, [b'I'], "{n}"),
+            _ => assert!(tags == *b"TDC" || code.as_deref() == Some("53300"), "{n}: {tags:?} {code:?}"),
+        }
+    }
+    assert!(world.seen().values().all(|s| s.len() == 1));
+}
+
+// Shutdown.
+
+/// More than there are places, and nobody else is connected: each gets an answer, none a reset.
+#[test]
+fn connections_that_wait_to_be_taken_in_at_the_close_are_answered() {
+    let world = world(&[works(0)]);
+    let mut agent = start(&world, |c| c["limits"]["sockets"] = 40.into());
+    drop(caller(&agent));
+    let mut waiting = Vec::new();
+    across_the_close(&agent, || {
+        for n in 0..30 {
+            waiting.push(eager(&agent, &[pg::startup(), pg::query(&view(&format!("w{n}"), 1400))].concat()));
+        }
+    });
+    for client in &mut waiting {
+        let code = first_answer(client).unwrap();
+        assert!(code.is_none() || code.as_deref() == Some("53300"), "{code:?}");
+    }
+    assert!(agent.ended_well().unwrap());
+}
+
+#[test]
+fn a_command_that_crosses_the_close_of_its_idle_connection_is_answered_or_left_unread() {
+    let world = world(&[works(0)]);
+    let mut agent = start(&world, as_it_is);
+    let mut clients: Vec<_> = (0..40).map(|_| caller(&agent)).collect();
+    across_the_close(&agent, || {
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.ask_as(&format!("i{n}"), "payment", 1400);
+        }
+    });
+    for (n, client) in clients.iter_mut().enumerate() {
+        let ran = || world.seen().get(&format!("i{n}")).map_or(0, Vec::len);
+        match client.told() {
+            Ok(told) => assert!(told.code().is_none() && ran() == 1),
+            // Reset, as what it wrote was not read: it asks again elsewhere.
+            Err(e) => assert!(e.kind() == ErrorKind::ConnectionReset && ran() == 0, "{e}"),
+        }
+    }
+    assert!(agent.ended_well().unwrap());
+}
+
+/// It was taken in at the very end, and its first command is still on its way.
+#[test]
+fn the_first_command_of_a_connection_taken_in_at_the_close_is_awaited() {
+    let world = world(&[works(0)]);
+    let mut agent = start(&world, as_it_is);
+    drop(caller(&agent));
+    let mut fresh = Vec::new();
+    across_the_close(&agent, || fresh.extend((0..5).map(|_| eager(&agent, &pg::startup()))));
+    assert!(until(|| agent.log().contains("phase: Closing")));
+    sleep(ms(60));
+    for (n, client) in fresh.iter_mut().enumerate() {
+        client.stream.write_all(&pg::query(&view(&format!("r{n}"), 1400))).unwrap();
+        assert_eq!(first_answer(client).unwrap(), None);
+    }
+    assert!(agent.ended_well().unwrap());
+}
+
+#[test]
+fn what_is_pipelined_at_the_close_is_answered_and_what_outlasts_the_program_is_denied_at_once() {
+    let world = world(&[works(700)]);
+    let mut agent = start(&world, as_it_is);
+    let mut client = caller(&agent);
+    client.ask_as("first", "payment", 1400);
+    client.ask_as("second", "payment", 2500);
+    agent.terminate().unwrap();
+    assert!(until(|| agent.log().contains("phase: Closing")));
+    client.ask_as("third", "payment", 60_000);
+    let begun = Instant::now();
+    let codes = [(); 3].map(|()| client.told().unwrap().code());
+    assert_eq!(codes, [None, None, Some("53300".into())]);
+    assert!(begun.elapsed() < ms(2500));
+    assert_eq!(seen(&world, "s-0"), 2);
+    assert!(agent.ended_well().unwrap());
+}
+
+#[test]
+fn sigterm_twice_and_while_it_starts_ends_it_well() {
+    let world = world(&[works(0)]);
+    late(&world, "s-0", 200);
+    let mut agent = start(&world, as_it_is);
+    // Its connections ahead are still being opened.
+    assert!(until(|| agent.log().contains("listening on")));
+    agent.terminate().unwrap();
+    agent.renew(&agent.configuration.to_string()).unwrap();
+    agent.terminate().unwrap();
+    let mut client = caller(&agent);
+    client.ask("view", 1400);
+    assert_eq!(client.told().unwrap().code(), None);
+    let begun = Instant::now();
+    assert!(agent.ended_well().unwrap() && begun.elapsed() < ms(4500));
+}
+
+// Starts.
+
+/// One appliance, many sockets, and handshakes that take nearly as long as they may.
+#[test]
+fn a_start_is_ready_within_its_bound_however_slowly_connections_come_up() {
+    let world = world(&[works(0)]);
+    late(&world, "s-0", 200);
+    let begun = Instant::now();
+    let agent = start(&world, as_it_is);
+    let mut client = caller(&agent);
+    assert!(begun.elapsed() < ms(8000), "ready after {:?}", begun.elapsed());
+    client.ask("view", 1400);
+    assert_eq!(client.told().unwrap().code(), None);
+}
+
+#[test]
+fn a_start_without_any_list_while_discovery_is_away_is_ready_and_denies() {
+    let world = world(&[works(0)]);
+    world.discovery.manner(Manner::Silent);
+    let begun = Instant::now();
+    let agent = start(&world, |c| c["known"]["servers"] = serde_json::json!([]));
+    let mut client = caller(&agent);
+    assert!(begun.elapsed() < ms(8000), "ready after {:?}", begun.elapsed());
+    client.ask("view", 600);
+    assert_eq!(client.told().unwrap().code(), Some("53300".into()));
+    world.discovery.manner(Manner::Tells);
+    assert!(until(|| {
+        client.ask("view", 600);
+        client.told().unwrap().code().is_none()
+    }));
+}
--- a/crates/standins/src/appliance.rs
+++ b/crates/standins/src/appliance.rs
@@ -35,6 +35,12 @@
     EndsAfter,
     /// Sends a copy of its answer right behind it.
     Twice,
+    /// Sends another value behind its answer, so many milliseconds later.
+    TwiceAfter(u16),
+    /// Sends so many bytes of its answer and ends the connection.
+    Cut(u16),
+    /// Sends its answer byte by byte, one in so many milliseconds.
+    Trickles(u16),
     /// Sends an answer that stops short of its end; the connection stays open.
     Half,
     /// The same, and ends the connection.
@@ -299,11 +305,22 @@
             work.or(gone).await
         };
         let Some(Some(answer)) = answer else { return Ok(()) };
-        stream.write_all(&answer).await?;
+        if let Act::Trickles(gap) = act {
+            for byte in &answer {
+                stream.write_all(&[*byte]).await?;
+                sleep(Duration::from_millis(gap.into())).await;
+            }
+        } else {
+            stream.write_all(&answer).await?;
+        }
         shared.count(from, &lane, |c| c.written += answer.len() as u64);
-        if matches!(act, Act::EndsAfter | Act::HalfEnds | Act::Leaves) {
+        if matches!(act, Act::EndsAfter | Act::HalfEnds | Act::Leaves | Act::Cut(_)) {
             return Ok(());
         }
+        if let Act::TwiceAfter(gap) = act {
+            sleep(Duration::from_millis(gap.into())).await;
+            stream.write_all(&pg::value(&[0xee])).await?;
+        }
     }
 }
 
@@ -352,9 +369,11 @@
         Act::Resets => return None,
         Act::Twice => bytes.extend(bytes.clone()),
         Act::Half | Act::HalfEnds => bytes.truncate(20),
+        Act::Cut(most) => bytes.truncate(most.into()),
         Act::Garbage => bytes = b"\0\xff\xff no answer at all".to_vec(),
         Act::Silent => futures_lite::future::pending().await,
         Act::Answers | Act::TurnsAway | Act::Leaves | Act::EndsAfter => {}
+        Act::TwiceAfter(_) | Act::Trickles(_) => {}
     }
     Some(bytes)
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -225,10 +225,9 @@
     }
 
     pub fn flag(&mut self, now: Duration, appliance: usize, lane: usize, age: Duration) {
-        let Some(a) = self.fleet.get_mut(appliance) else { return };
-        if lane < a.counts.len() && a.started.unwrap_or_default() + age <= now {
-            a.counts[lane].flagged += 1.0;
-        }
+        let own = |a: &&mut Appliance| a.started.unwrap_or_default() + age <= now;
+        let count = self.fleet.get_mut(appliance).filter(own).and_then(|a| a.counts.get_mut(lane));
+        count.into_iter().for_each(|c| c.flagged += 1.0);
     }
 
     /// An appliance answered, and told or did not tell what it holds.
@@ -272,7 +271,7 @@
         let lane = &self.lanes[c.lane];
         let left = c.expires.saturating_sub(now);
         let spent = c.deliveries.len() >= self.at.deliveries;
-        let hopeless = left.as_secs_f64() < lane.usual;
+        let hopeless = left.as_secs_f64() < lane.usual || c.forgotten(lane.repeats, now + self.at.tick);
 
         if let Some(delivery) = c.deliveries.iter().rposition(|d| d.out) {
             // It is out. Guards against appliances that hang, vanish, pause or crawl: when one has said
@@ -296,18 +295,25 @@
         }
         // Overload: what is worth least is denied before it costs anything.
         if left <= self.at.tick * 2 || spent || c.deliveries.is_empty() && self.crowded(c) {
-            return self.give_up(id);
+            return self.give_up(now, id);
         }
         // Unsent at half its time: its client may find another agent. Denies what might yet be taken.
         let unsent = now + self.at.tick * 4 > c.half && !c.deliveries.iter().any(|d| d.may_have_run);
         match self.pick(now, id) {
             Some(two) if self.ask(now, id, two) => Answer::NotYet { until: now + self.at.tick * 2 },
             Some([chosen, _]) => self.send(now, id, chosen),
-            None if hopeless || unsent => self.give_up(id),
+            None if hopeless || unsent => self.give_up(now, id),
             None => Answer::NotYet { until: now + self.at.tick * 4 },
         }
     }
 
+    /// Whether a delivery still stands as it is about to be written: its connection may have come up late.
+    pub fn holds(&self, now: Duration, id: u64, nth: usize) -> bool {
+        let Some(c) = self.commands.get(&id).filter(|c| now < c.expires) else { return false };
+        let to = c.deliveries.get(nth).and_then(|d| self.fleet.get(d.appliance));
+        to.is_some_and(|a| c.within_group(nth, self.lanes[c.lane].repeats, a, now + self.at.tick))
+    }
+
     /// What to do after a delivery ended; `closed` when the command has had its final answer.
     pub fn after(&mut self, now: Duration, id: u64, delivery: usize, end: End) -> Answer {
         self.resume(now);
@@ -355,7 +361,7 @@
         let late = c.expires.saturating_sub(now).as_secs_f64() < self.lanes[lane].usual * 0.5;
         let barred = ran && self.lanes[lane].repeats == Repeats::Unrepeatable;
         if late || barred || moot || self.load.spare < cost {
-            return self.give_up(id);
+            return self.give_up(now, id);
         }
         self.load.spare -= cost;
         self.place(now, id)
@@ -477,9 +483,8 @@
         let verdict = match n.phase {
             _ if agreed => Some(Verdict::Back),
             Phase::Released if lasting && age < SERVED => Some(Verdict::Back),
-            Phase::Trial if seen && self.at.jury && (self.votes.severe || held_first) || lasting && taken => {
-                Some(Verdict::Back)
-            }
+            Phase::Trial if lasting && taken => Some(Verdict::Back),
+            Phase::Trial if seen && self.at.jury && (self.votes.severe || held_first) => Some(Verdict::Back),
             Phase::Trial if seen => Some(Verdict::Hold),
             _ => None,
         };
@@ -601,7 +606,7 @@
         let heavy = c.work.is_some_and(|w| w.as_secs_f64() > self.lanes[c.lane].quoted * HEAVY);
         let mut pool: [Vec<(usize, f64, f64)>; 4] = Default::default();
         for (i, a) in self.running() {
-            let fits = a.build >= floor && c.within_group(repeats, a, now + self.at.tick);
+            let fits = a.build >= floor && c.within_group(c.deliveries.len(), repeats, a, now + self.at.tick);
             if !fits || a.cold_since.is_some() && a.quota < 1.0 || !self.may_expose(a.build, c.lane) {
                 continue;
             }
@@ -609,12 +614,12 @@
             let trial = self.on_trial(a.build);
             let regressed = self.builds.get(&a.build).is_some_and(|b| b.regressed);
             // The build on trial gets an even share from every zone, a regressed one a trickle.
+            let fair = if regressed { fair * TRICKLE } else { fair };
             let share = if trial { fair } else { side(a.zone) * yields };
             // Guards heavy commands against slow machines, quick at no load. Crowds the quick ones.
             let Kind { rate, slower, held, .. } = self.kinds[a.kind];
             let (quick, least) = if heavy { (slower.powi(-4), 1.0 + held.now) } else { (1.0, 0.0) };
-            let draw =
-                a.weight * rate * ramp * share * quick * if regressed && trial { TRICKLE } else { 1.0 };
+            let draw = a.weight * rate * ramp * share * quick;
             let draw = if a.cold_since.is_some() { draw * (1.0 / a.turns).clamp(1.0, all) } else { draw };
             let tried = c.deliveries.iter().any(|d| d.appliance == i);
             let resting = a.aside.is_some_and(|t| now < t) || a.strikes > 1 && !idempotent;
@@ -664,10 +669,9 @@
         let c = self.commands.get_mut(&id).filter(|c| c.deliveries.is_empty() && c.choices.is_none());
         let Some(c) = c.filter(|_| self.at.probes && self.load.limit.is_some()) else { return false };
         c.choices = Some(choices);
-        let stale = |t: Option<Duration>| t.is_none_or(|t| now > t + FRESH);
-        let due =
-            choices.into_iter().filter(|i| stale(self.fleet[*i].held.map(|h| h.1).max(self.fleet[*i].asked)));
-        let due: Vec<usize> = due.collect();
+        let known = |i: &usize| self.fleet[*i].held.map(|h| h.1).max(self.fleet[*i].asked);
+        let due: Vec<usize> =
+            choices.into_iter().filter(|i| known(i).is_none_or(|t| now > t + FRESH)).collect();
         due.iter().for_each(|i| self.fleet[*i].asked = Some(now));
         self.asks.extend(&due);
         !due.is_empty()
@@ -719,9 +723,8 @@
         let round = self.fleet.len() as f64 / self.lanes.iter().map(|l| l.rate).sum::<f64>().max(1.0);
         let round = Duration::from_secs_f64(round).clamp(ASIDE_FIRST, ASIDE_MOST * 2);
         let way = self.crossings.zones.get(self.fleet[i].zone).map_or(0.0, |t| t.added.as_secs_f64());
-        let judged = self.judged(now);
+        let (judged, took) = (self.judged(now), end.took.as_secs_f64());
         let (a, l) = (&mut self.fleet[i], &mut self.lanes[lane]);
-        let took = end.took.as_secs_f64();
         a.in_flight = a.in_flight.saturating_sub(1);
         if a.build != build || a.standing != Standing::Running {
             return;
@@ -754,9 +757,7 @@
         }
         // Nothing out, nothing owed: after its rest one command tries whether it is back.
         a.unheard = a.unheard.filter(|_| a.in_flight > 0);
-        if matches!(end.outcome, Outcome::Satisfied | Outcome::Failed) {
-            l.done += 1.0;
-        }
+        l.done += if matches!(end.outcome, Outcome::Satisfied | Outcome::Failed) { 1.0 } else { 0.0 };
         if end.outcome == Outcome::Failed {
             a.failing += 0.15 * blame * (1.0 - a.failing);
             // Guards against machines that fail whatever they run: while some of the earlier build do, one of
@@ -799,8 +800,7 @@
             }
             if a.failing < SICK_SHARE && a.aside.take().is_some() {
                 a.aside_for = ASIDE_FIRST;
-                let noted = std::mem::take(&mut a.noted);
-                self.notes.extend(noted.then(|| format!("taken back: appliance {i}")));
+                self.notes.extend(std::mem::take(&mut a.noted).then(|| format!("taken back: appliance {i}")));
             }
         }
         // A build on trial must be heard before its appliances rest, or it would never be judged.
@@ -896,10 +896,11 @@
         self.load.in_flight.saturating_sub(self.load.stuck) as f64 >= limit * room
     }
 
-    fn give_up(&mut self, id: u64) -> Answer {
+    fn give_up(&mut self, now: Duration, id: u64) -> Answer {
         let Some(c) = self.commands.get(&id) else { return Answer::Wait };
         let deny = Answer::Deny { come_back: self.at.come_back.map(|most| most.min(COME_BACK)) };
-        let answer = if c.harmless(self.lanes[c.lane].repeats) { deny } else { Answer::Scrap };
+        let harmless = c.harmless(self.lanes[c.lane].repeats, now + COME_BACK);
+        let answer = if harmless { deny } else { Answer::Scrap };
         self.left(id);
         answer
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -583,10 +583,13 @@
 }
 
 impl Open {
-    /// Whether it may go to `a` beside all that may have run: inside their group, and before it forgets them.
-    pub fn within_group(&self, repeats: Repeats, a: &Appliance, at: Duration) -> bool {
+    /// Whether its delivery of number `nth` may go to `a` beside all others that may have run: inside their group, and
+    /// before it forgets them.
+    pub fn within_group(&self, nth: usize, repeats: Repeats, a: &Appliance, at: Duration) -> bool {
         let Repeats::Deduplicated { group, window } = repeats else { return true };
-        self.deliveries.iter().filter(|d| d.out || d.may_have_run).all(|d| {
+        let others =
+            self.deliveries.iter().enumerate().filter(|(n, d)| *n != nth && (d.out || d.may_have_run));
+        others.map(|(_, d)| d).all(|d| {
             let here = match group {
                 Group::All => true,
                 Group::Zone => d.zone == a.zone,
@@ -596,13 +599,21 @@
         })
     }
 
-    /// Whether a retry by the client would be harmless.
-    pub fn harmless(&self, repeats: Repeats) -> bool {
-        let ran = self.deliveries.iter().any(|d| d.out || d.may_have_run);
+    /// Whether repeats of what may have run are not told from it any more: nothing further may go out, anywhere.
+    pub fn forgotten(&self, repeats: Repeats, at: Duration) -> bool {
+        let Repeats::Deduplicated { window, .. } = repeats else { return false };
+        self.deliveries.iter().any(|d| (d.out || d.may_have_run) && at >= d.sent + window)
+    }
+
+    /// Whether a retry by the client, which comes until `back`, would be harmless.
+    pub fn harmless(&self, repeats: Repeats, back: Duration) -> bool {
+        let mut ran = self.deliveries.iter().filter(|d| d.out || d.may_have_run);
         match repeats {
             Repeats::Idempotent => true,
-            Repeats::Deduplicated { group, .. } => !ran || group == Group::All,
-            Repeats::Unrepeatable => !ran,
+            Repeats::Deduplicated { group, window } => {
+                ran.all(|d| group == Group::All && back < d.sent + window)
+            }
+            Repeats::Unrepeatable => ran.next().is_none(),
         }
     }
 
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use std::time::Duration;
 use tulipwall::*;
 use world::*;
 
@@ -391,3 +392,44 @@
     w.list(&[Listed { zone: 1, ..listed(0, 7, None) }]);
     assert_eq!(w.choice.rooms(w.now, 2).iter().map(|r| r.running).collect::<Vec<_>>(), [0, 1]);
 }
+
+/// One appliance lost its answer; whatever its group remembers or not, the answer is final and comes in time.
+fn lost_once(window: Duration, passes: Duration) -> (World, Vec<Answer>) {
+    let mut d = deployment(11);
+    d.lanes[1].repeats = Repeats::Deduplicated { group: Group::All, window };
+    let mut w = World::new(d);
+    w.list(&[listed(0, 7, None)]);
+    w.take(1, 1, ms(2000));
+    w.list(&[Listed { standing: Standing::Draining, ..listed(0, 7, None) }]);
+    w.end(1, 0, Outcome::Broken);
+    w.pass(passes);
+    let answers = w.held[&1].answers.clone();
+    (w, answers)
+}
+
+#[test]
+fn a_deduplicated_command_whose_repeat_is_forgotten_is_scrapped_at_once() {
+    assert_eq!(
+        lost_once(ms(300), ms(400)).1,
+        [Answer::Scrap],
+        "nothing may go out any more, nor a retry come"
+    );
+    assert!(lost_once(ms(3000), ms(400)).1.is_empty(), "it waits for an appliance to repeat it at");
+}
+
+#[test]
+fn a_delivery_holds_until_its_commands_time_is_over_and_a_repeat_while_it_is_remembered() {
+    let mut d = deployment(11);
+    d.lanes[1].repeats = Repeats::Deduplicated { group: Group::All, window: ms(300) };
+    let mut w = World::new(d);
+    w.list(&[listed(0, 7, None), listed(1, 7, None)]);
+    w.take(1, 1, ms(1000));
+    let first = w.now;
+    assert!(w.choice.holds(first + ms(900), 1, 0), "the first one repeats nothing, however late");
+    assert!(!w.choice.holds(first + ms(1000), 1, 0));
+    w.end(1, 0, Outcome::Broken);
+    assert_eq!(w.held[&1].deliveries.len(), 2);
+    assert!(w.choice.holds(first + ms(290), 1, 1));
+    assert!(!w.choice.holds(first + ms(300), 1, 1));
+    assert!(!w.choice.holds(first, 1, 2) && !w.choice.holds(first, 2, 0), "what was never decided");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -245,7 +245,10 @@
             Answer::Deny { .. } => {
                 let harmless = match self.d.lanes[lane].repeats {
                     Repeats::Idempotent => true,
-                    Repeats::Deduplicated { group: Group::All, .. } => true,
+                    // Its client may be back half a second later, and the repeat must be told as one then.
+                    Repeats::Deduplicated { group: Group::All, window } => {
+                        h.deliveries.iter().filter(|d| ran(d)).all(|d| now + ms(500) < d.sent + window)
+                    }
                     _ => !h.deliveries.iter().any(ran),
                 };
                 assert!(harmless, "denied though it may have run");
