The platform's counts are read on sockets; they had closed its connection at each one

What came, printed by a trial build: {"method":"SAMPLE","params":{"bad":0,"image":733, "lag_ms":828,"latency_ms":19.562,"n":1,"type":"slot-search"}}. Cause: wire/platform.rs, `line`, took any other method as spoilt. What is told while no connection is open is not told again, and where tallies are expected and none comes, `tallied` in the module excused every slow build.

--- a/crates/agent/src/lifecycle/life.rs
+++ b/crates/agent/src/lifecycle/life.rs
@@ -13,6 +13,9 @@
 const NEW_LEAST: Duration = Duration::from_millis(50);
 /// SIGKILL comes no sooner than the longest expiry, of this at least, and somewhat more.
 pub const LEAST_EXPIRY: Duration = Duration::from_secs(3);
+/// For answers that are given at the expiry itself. With it the program ends before SIGKILL: 0.7 s and the longest
+/// expiry after SIGTERM.
+pub const LAST_WORDS: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -34,7 +37,7 @@
     awaited: Cell<usize>, // parties not yet heard at their new addresses
     idle: RefCell<BTreeMap<(Duration, u64), Event>>, // clients between commands, the first to go first
     idled: Cell<u64>,
-    ends: Cell<Option<Duration>>, // when the program does, known once it closes
+    ends: Cell<Option<Duration>>, // when the last command does, known once it closes
     shut: Cell<bool>,             // the listener: all that had connected are taken in
 }
 
@@ -95,7 +98,7 @@
         }
     }
 
-    /// No new clients from now on, and at this time the program ends, whatever is in hand.
+    /// No new clients from now on, and no command is taken whose time goes beyond `ends`.
     pub fn close(&self, ends: Duration) {
         if self.ends.get().is_none() {
             self.ends.set(Some(ends));
@@ -103,7 +106,7 @@
         }
     }
 
-    /// Whether the program will have ended at this time.
+    /// Whether the program ends before this time.
     pub fn ends_before(&self, at: Duration) -> bool {
         self.ends.get().is_some_and(|ends| ends < at)
     }
--- a/crates/agent/src/lifecycle/signals.rs
+++ b/crates/agent/src/lifecycle/signals.rs
@@ -1,6 +1,6 @@
 //! What the operator asks for by signals: the counters, a new configuration, the end.
 
-use super::life::{Phase, LEAST_EXPIRY, LEAVING};
+use super::life::{Phase, LAST_WORDS, LEAST_EXPIRY, LEAVING};
 use super::start::{Files, Start};
 use crate::agent::Agent;
 use crate::reactor::Timer;
@@ -55,7 +55,7 @@
         if let Some(closes) = asked.map(|at| at + LEAVING).filter(|at| now >= *at) {
             let last = closes + agent.site.longest_expiry.max(LEAST_EXPIRY);
             agent.life.close(last);
-            if agent.life.is_shut() && agent.sockets.nobody() || now >= last {
+            if agent.life.is_shut() && agent.sockets.nobody() || now >= last + LAST_WORDS {
                 return agent.life.reach(Phase::Stopped);
             }
         }
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -178,6 +178,10 @@
         self.choice.borrow_mut().flag(self.clock.now(), appliance, lane, age);
     }
 
+    pub fn tally(&self, tally: &Tally) {
+        self.choice.borrow_mut().tally(tally);
+    }
+
     pub fn reply(&self, reply: Reply) {
         self.choice.borrow_mut().reply(self.clock.now(), reply);
     }
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tulipwall::Reply;
+use tulipwall::{Reply, Tally};
 
 /// A sign of life is due every second: without one for as long as this the connection is opened anew.
 const SILENT: Duration = Duration::from_millis(3500);
@@ -191,6 +191,12 @@
                     agent.hand.flag(a, l, age);
                 }
             }
+            Line::Counted { build, lane, deliveries, failed, took, age } if all => {
+                if let Some(lane) = agent.site.lane(&lane) {
+                    let (deliveries, failed) = (deliveries.into(), failed.into());
+                    agent.hand.tally(&Tally { build, lane, deliveries, failed, took, age });
+                }
+            }
             Line::Answer { id, reply, told } => {
                 if let Some(told) = told.filter(|_| all) {
                     agent.news(told);
@@ -200,7 +206,7 @@
                     agent.hand.reply(reply);
                 }
             }
-            Line::News(_) | Line::Flag { .. } | Line::SignOfLife => {}
+            Line::News(_) | Line::Flag { .. } | Line::Counted { .. } | Line::SignOfLife => {}
         }
     }
     Ok(count)
--- a/crates/agent/src/wire/platform.rs
+++ b/crates/agent/src/wire/platform.rs
@@ -28,6 +28,15 @@
         lane: String,
         age: Duration,
     },
+    /// What it counted of a build and lane in a sample of all agents' deliveries.
+    Counted {
+        build: u32,
+        lane: String,
+        deliveries: u32,
+        failed: u32,
+        took: Duration,
+        age: Duration,
+    },
     /// The answer to call `id`.
     Answer {
         id: u64,
@@ -51,9 +60,13 @@
     json!({"jsonrpc": "2.0", "id": id, "method": "Rollout.Judge", "params": params}).to_string() + "\n"
 }
 
+fn number(f: &Fields, name: &str) -> Result<u32, String> {
+    u32::try_from(f.whole(name)?).map_err(|_| format!("field {name}: too large"))
+}
+
 pub fn told(f: &Fields) -> Result<Told, String> {
     Ok(Told {
-        build: u32::try_from(f.whole("image")?).map_err(|_| "field image: too large")?,
+        build: number(f, "image")?,
         stage: f.whole("ring")? as usize,
         phase: match f.text("progress")? {
             "trial" => Phase::Trial,
@@ -78,6 +91,17 @@
                 let (appliance, lane) = (p.text("host")?.to_owned(), p.text("type")?.to_owned());
                 Line::Flag { appliance, lane, age: p.span("lag_ms")? }
             }
+            Some("SAMPLE") => {
+                let p = f.inner("params")?;
+                Line::Counted {
+                    build: number(&p, "image")?,
+                    lane: p.text("type")?.to_owned(),
+                    deliveries: number(&p, "n")?,
+                    failed: number(&p, "bad")?,
+                    took: p.span("latency_ms")?,
+                    age: p.span("lag_ms")?,
+                }
+            }
             Some("ping") => Line::SignOfLife,
             _ => return malformed("line: field method: unknown value"),
         });
--- a/crates/agent/tests/crossing.rs
+++ b/crates/agent/tests/crossing.rs
@@ -546,3 +546,28 @@
         client.told().unwrap().code().is_none()
     }));
 }
+
+// The platform.
+
+/// Where the platform counts for all. An agent that could not read it closed the connection at each count, and what was
+/// told while none was open was lost.
+#[test]
+fn counts_of_the_platform_are_read_beside_its_news_and_a_build_that_they_show_as_failing_goes_back() {
+    let world = world(&[works(0), works(0)]);
+    world.appliance(0, "t-0", 42, works(0)).unwrap();
+    world.platform.news(platform::News::now(42, 0, "trial", 0.2));
+    let agent = start(&world, |c| {
+        let domain = &mut c["settings"]["domain"];
+        domain["tally-every-ms"] = 500.into();
+        domain["counted-share"] = 0.5.into();
+    });
+    caller(&agent);
+    let back = until(|| {
+        world.platform.sample(41, "view", 20, 0, ms(20));
+        world.platform.sample(42, "view", 20, 12, ms(20));
+        sleep(ms(50));
+        world.platform.votes().iter().any(|(_, vote)| vote["opinion"] == "abort" && vote["image"] == 42)
+    });
+    assert!(back);
+    assert!(!agent.log().contains("its connection is closed"), "{}", agent.log());
+}
--- a/crates/agent/tests/wire.rs
+++ b/crates/agent/tests/wire.rs
@@ -168,6 +168,10 @@
         assert_eq!(answer, Ok(Line::Answer { id: 7, reply, told: None }));
     }
     assert_eq!(line(r#"{"method":"ping"}"#.into()), Ok(Line::SignOfLife));
+    let sample = r#"{"bad":1,"image":42,"lag_ms":828,"latency_ms":564.324,"n":3,"type":"view"}"#;
+    let (took, age) = (Duration::from_micros(564_324), Duration::from_millis(828));
+    let counted = Line::Counted { build: 42, lane: "view".into(), deliveries: 3, failed: 1, took, age };
+    assert_eq!(line(format!(r#"{{"method":"SAMPLE","params":{sample}}}"#)), Ok(counted));
     for spoilt in [r#"{"id":7}"#, r#"{"method":"pong"}"#, r#"{"id":7,"error":{"message":"Thr#ttling"}}"#] {
         assert!(line(spoilt.into()).is_err());
     }
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -192,7 +192,8 @@
 /// What is in no range gets one line that names its key.
 fn check(s: &Fields, domain: &Fields, rules: &Fields, stages: usize) -> Result<(), String> {
     let wrong = |key: &str, what: String| Err(format!("field {key}: {what}"));
-    for (of, key) in [(s, "instances"), (domain, "noes-needed")] {
+    let limits = s.inner("limits")?;
+    for (of, key) in [(s, "instances"), (domain, "noes-needed"), (&limits, "try-limit")] {
         if of.whole_or(key, 1)? == 0 {
             return wrong(key, "one at least is wanted".into());
         }
@@ -210,8 +211,13 @@
             return wrong("most-shares", "shares from 0 to 1 are wanted".into());
         }
     }
-    let limits = s.inner("limits")?;
-    for (of, key) in [(rules, "must-ask-in-ms"), (&limits, "dial-timeout-ms"), (&limits, "conn-idle-ms")] {
+    let spans = [
+        (s, "granularity-ms"),
+        (rules, "must-ask-in-ms"),
+        (&limits, "dial-timeout-ms"),
+        (&limits, "conn-idle-ms"),
+    ];
+    for (of, key) in spans {
         if of.number_or(key, 1.0)? <= 0.0 {
             return wrong(key, "more than 0 is wanted".into());
         }
--- a/crates/deployment/tests/installation.rs
+++ b/crates/deployment/tests/installation.rs
@@ -53,11 +53,17 @@
     assert!(with("domain", "closed-stages", json!(-1)).starts_with("field closed-stages:"));
     assert_eq!(with("domain", "noes-needed", json!(0)), "field noes-needed: one at least is wanted");
     assert_eq!(with("", "instances", json!(0)), "field instances: one at least is wanted");
+    assert_eq!(with("limits", "try-limit", json!(0)), "field try-limit: one at least is wanted");
     assert!(with("domain", "reported-share", json!(1.5)).starts_with("field reported-share: a share"));
     assert!(with("domain", "most-shares", json!([0.2, 7])).starts_with("field most-shares: shares"));
     assert_eq!(with("rules", "fall-multiple", json!(0.5)), "field fall-multiple: 1 or more is wanted");
-    for (of, key) in [("rules", "must-ask-in-ms"), ("limits", "dial-timeout-ms"), ("limits", "conn-idle-ms")]
-    {
+    // At no granularity at all what is not yet sent would be asked after again and again without a pause.
+    for (of, key) in [
+        ("", "granularity-ms"),
+        ("rules", "must-ask-in-ms"),
+        ("limits", "dial-timeout-ms"),
+        ("limits", "conn-idle-ms"),
+    ] {
         assert_eq!(with(of, key, json!(0)), format!("field {key}: more than 0 is wanted"));
         assert!(with(of, key, json!(-5)).starts_with(&format!("field {key}:")));
     }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -123,6 +123,14 @@
         self.shared.tell("DISPUTE", json!({"host": appliance, "type": lane, "lag_ms": lag}));
     }
 
+    /// What was counted of a build and lane in a sample of all deliveries, `bad` of them not satisfied.
+    pub fn sample(&self, build: u32, lane: &str, n: u32, bad: u32, took: Duration) {
+        let took = took.as_secs_f64() * 1000.0;
+        let params =
+            json!({"image": build, "type": lane, "n": n, "bad": bad, "latency_ms": took, "lag_ms": 500});
+        self.shared.tell("SAMPLE", params);
+    }
+
     /// Says nothing more unasked, or does so again.
     pub fn silent(&self, silent: bool) {
         self.shared.state().silent = silent;
