--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -307,3 +307,38 @@
         .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse::<u64>().ok());
     assert!(peak.unwrap() < 40 * 1024, "{peak:?} kB at most");
 }
+
+/// A watch that falls silent, a new address by SIGHUP and a drain that both addresses tell, 60 ms apart in each order.
+/// Each bound of the page is over 3.75 s after the last of them; the agent is asked for less.
+#[test]
+fn a_silence_a_new_address_and_a_drain_cross_in_each_order_and_the_drain_is_kept() {
+    let order = |order: [u8; 3]| {
+        let (world, next) = (world(2), Discovery::start(1).unwrap());
+        next.tell(world.discovery.entries());
+        let agent = start(&world);
+        last_sent(&world, &agent, Instant::now() + ms(1300));
+        let mut configuration = agent.configuration.clone();
+        configuration["discovery"] = next.address(0).to_string().into();
+        for event in order {
+            match event {
+                0 => world.discovery.hush([Meets::Mute, Meets::Late(ms(300))]),
+                1 => agent.renew(&configuration.to_string()).unwrap(),
+                _ => {
+                    leaves(&world, "s-0");
+                    next.change("s-0", |e| e.state = "terminating".into());
+                }
+            }
+            sleep(ms(60));
+        }
+        let crossed = Instant::now();
+        let last = last_sent(&world, &agent, crossed + ms(2500)).unwrap();
+        assert!(
+            last < crossed + ms(2000) + GRACE,
+            "{order:?}: sent {:?} after",
+            last.duration_since(crossed)
+        );
+    };
+    let orders = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+    let all: Vec<_> = orders.into_iter().map(|o| std::thread::spawn(move || order(o))).collect();
+    all.into_iter().for_each(|one| one.join().unwrap());
+}
