--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,7 +29,7 @@
 const AGREED_FAILED: f64 = 3.0; // of failures, for each of those that must agree: few come by chance
 const AGREED_WRONG: f64 = 1.0; // the same of wrong answers, which hardly come by chance at all
 const LEAST_FLAGS: f64 = 1.8; // two, of which one may have faded
-const GROWN: [f64; 2] = [1.2, 0.3]; // times the calm intake: the load's, unless so much was given up before
+const GROWN: f64 = 1.2; // times the calm intake: what is slow then may be the load's
 const ABLE: f64 = 0.85; // of the fleet's full load: with less, all are slow for that
 const ALARM: f64 = 6.0;
 const QUICK_SHARE: f64 = 0.3; // of answers quicker than half were before the trial
@@ -507,7 +507,7 @@
         let able = |(_, a): (usize, &Appliance)| self.at.ramp(now, a) - ABLE;
         let short = self.at.in_place && self.running().map(able).sum::<f64>() < 0.0;
         let d = &mut self.drag;
-        d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN[0] && !short;
+        d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN && !short;
         d.fade(PACE_FADE);
         // Right after more of it came up, the quick half of the answers is gone: held at once, and sent back
         // where its places are taken if that lasts. Some slow machines or a slow way leave the quick answers.
@@ -544,12 +544,13 @@
         if self.votes.pending.is_some() || now < self.votes.at || !self.at.votes {
             return None;
         }
+        let life = self.at.vote_life;
         let vote = match (&self.votes.want, &self.votes.standing) {
-            (Some(w), Some((s, since))) if w == s && now < *since + self.at.vote_life / 2 => return None,
+            (Some(w), Some((s, since))) if w == s && now < *since + life / 2 => return None,
             (Some(w), _) => w.clone(),
             (None, Some((s, since))) => {
                 let on = |n: &News| n.build == s.build && n.phase == Phase::Trial;
-                if !self.news.as_ref().is_some_and(on) || now > *since + self.at.vote_life * 2 {
+                if !self.news.as_ref().is_some_and(on) || now > *since + life * 2 {
                     self.votes.standing = None;
                     return None;
                 }
@@ -859,7 +860,7 @@
         self.beside.fade(fade, 0.5f64.powf(SURVEY.as_secs_f64() / LATE_LIFE));
         let rate = self.lanes.iter().map(|l| l.rate).sum::<f64>() * SURVEY.as_secs_f64();
         let (judged, few) = (self.judged(now), (1.0 - rate / ENOUGH).max(PACE_FADE));
-        self.intake.survey(judged, 1.0 - PACE_FADE, 1.0 - fade, GROWN);
+        self.intake.survey(judged, 1.0 - PACE_FADE, 1.0 - fade);
         self.lanes.iter_mut().for_each(|l| l.fade_times(judged, ENOUGH, fade, few));
         self.customer_load.iter_mut().for_each(|l| *l *= 0.98);
         let by = if self.load.near > self.load.far * 1.2 { 1.1 } else { 0.95 };
@@ -901,7 +902,6 @@
         let deny = Answer::Deny { come_back: self.at.come_back.map(|most| most.min(COME_BACK)) };
         let harmless = c.harmless(self.lanes[c.lane].repeats, now + COME_BACK);
         let answer = if harmless { deny } else { Answer::Scrap };
-        self.intake.given_up += 1.0;
         self.left(id);
         answer
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -334,9 +334,6 @@
 #[derive(Default)]
 pub(crate) struct Intake {
     pub taken: f64,
-    pub given_up: f64, // the same, and of late
-    back: f64,
-    rush: bool, // more came before anything was given up
     late: f64,
     calm: f64,
     surveys: f64,
@@ -344,19 +341,17 @@
 
 impl Intake {
     /// At each survey; the mean of late follows by `gain`, the calm one by `least` once it knows as much.
-    pub fn survey(&mut self, judged: bool, gain: f64, least: f64, [grown, before]: [f64; 2]) {
-        let (taken, given_up) = (std::mem::take(&mut self.taken), std::mem::take(&mut self.given_up));
+    pub fn survey(&mut self, judged: bool, gain: f64, least: f64) {
+        let taken = std::mem::take(&mut self.taken);
         self.late += (taken - self.late) * gain;
-        self.back += (given_up - self.back) * gain;
-        self.rush = self.late > self.calm * grown && (self.rush || self.back < self.late * before);
         if !judged {
             self.surveys += 1.0;
             self.calm += (taken - self.calm) * least.max(1.0 / self.surveys);
         }
     }
-    /// How many times the calm intake that of late is; without those that may only have come again.
+    /// How many times the calm intake that of late is.
     pub fn grown(&self) -> f64 {
-        (self.late - if self.rush { 0.0 } else { self.back }) / self.calm.max(1e-6)
+        self.late / self.calm.max(1e-6)
     }
 }
 
