--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -1,8 +1,8 @@
 //! The watch on discovery's list. The module says when to ask first; here it is kept alive, and begun anew as
-//! `vigil` says.
+//! `watchdog` says.
 
 use crate::agent::Agent;
-use crate::vigil::{Ended, Vigil};
+use crate::watchdog::{Ended, Watchdog};
 use crate::wire::connection::Connection;
 use crate::wire::listing::{self, Listing};
 use crate::wire::{http, Malformed};
@@ -31,7 +31,7 @@
 
 pub async fn run(agent: &Agent) {
     let (mut moves, mut owes, mut again) = (agent.moves(), false, None);
-    let (mut vigil, mut away) = (Vigil::new(&agent.site.deployment), None);
+    let (mut watchdog, mut away) = (Watchdog::new(&agent.site.deployment), None);
     loop {
         let due = async {
             match again {
@@ -51,7 +51,7 @@
             None
         };
         // A change of the address ends the old watch and is no failure: the whole list is asked for at once.
-        let ended = moved.or(async { Some(watch(agent, &mut vigil, &mut owes, &mut away).await) }).await;
+        let ended = moved.or(async { Some(watch(agent, &mut watchdog, &mut owes, &mut away).await) }).await;
         let Some(End(ended, what)) = ended else { continue };
         if ended == Ended::Silent {
             agent.counters.list_silences.add();
@@ -60,7 +60,7 @@
             log::warn!("discovery: {what}; it is asked anew");
             away = Some(agent.clock.now());
         }
-        again = vigil.again(ended).map(|gap| agent.clock.now() + gap);
+        again = watchdog.again(ended).map(|gap| agent.clock.now() + gap);
         match again {
             Some(_) => agent.counters.list_failures.add(),
             None => agent.hand.list_failed(),
@@ -72,15 +72,15 @@
 /// where none is known or discovery is another. Guards against agents that start or call again all at once: a
 /// list has as many lines as there are appliances, and discovery pays for each. `owes` while it was not yet heard
 /// at its new address, `away` since when it has not been heard.
-async fn watch(agent: &Agent, vigil: &mut Vigil, owes: &mut bool, away: &mut Option<Duration>) -> End {
-    let wait = vigil.wait(true);
+async fn watch(agent: &Agent, watchdog: &mut Watchdog, owes: &mut bool, away: &mut Option<Duration>) -> End {
+    let wait = watchdog.wait(true);
     let path = match agent.known() {
         Some(version) if !*owes => listing::watch(version, wait),
         _ => listing::LIST.to_owned(),
     };
-    let (quick, patient) = (wait + vigil.within(false), wait + vigil.within(true));
-    let begun = match vigil.second() {
-        _ if vigil.free() => over(agent, vigil, &path, quick).or(begin(agent, &path, patient)).await,
+    let (quick, patient) = (wait + watchdog.within(false), wait + watchdog.within(true));
+    let begun = match watchdog.second() {
+        _ if watchdog.free() => over(agent, watchdog, &path, quick).or(begin(agent, &path, patient)).await,
         Some(gap) => either(agent, &path, patient, gap).await,
         None => begin(agent, &path, patient).await,
     };
@@ -95,7 +95,7 @@
         if let Some(what) = spoilt {
             return End(Ended::Spoilt, format!("list: {what}"));
         }
-        vigil.told();
+        watchdog.told();
         if let Some(since) = away.take() {
             log::info!("discovery: heard again after {:.1?}", agent.clock.now().saturating_sub(since));
         }
@@ -105,9 +105,9 @@
         if last {
             return End(Ended::Broken, "it closes after an answer".into());
         }
-        let wait = vigil.wait(false);
+        let wait = watchdog.wait(false);
         let path = listing::watch(agent.version(), wait);
-        match within(agent, wait + vigil.late(), ask(agent, &mut connection, &path)).await {
+        match within(agent, wait + watchdog.late(), ask(agent, &mut connection, &path)).await {
             Ok(next) => (told, last) = next,
             Err(end) => return end,
         }
@@ -125,10 +125,15 @@
 }
 
 /// The same over and over, without an end of its own.
-async fn over(agent: &Agent, vigil: &Vigil, path: &str, time: Duration) -> Result<(Connection, Told), End> {
+async fn over(
+    agent: &Agent,
+    watchdog: &Watchdog,
+    path: &str,
+    time: Duration,
+) -> Result<(Connection, Told), End> {
     loop {
         match begin(agent, path, time).await {
-            Err(End(ended, _)) => agent.until(agent.clock.now() + vigil.gap(ended)).await,
+            Err(End(ended, _)) => agent.until(agent.clock.now() + watchdog.gap(ended)).await,
             begun => return begun,
         }
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -14,5 +14,5 @@
 pub mod platform;
 pub mod program;
 pub mod reactor;
-pub mod vigil;
+pub mod watchdog;
 pub mod wire;
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -6,7 +6,7 @@
 use crate::lifecycle::start::{Files, Start};
 use crate::memory::pools::Slot;
 use crate::reactor::{self, Source, Timer};
-use crate::vigil::Vigil;
+use crate::watchdog::Watchdog;
 use crate::wire::connection::Connection;
 use crate::{client, delivery, discovery, door, logs, platform};
 use futures_lite::future::{self, FutureExt};
@@ -64,7 +64,7 @@
         let a = agent.clone();
         let ready = async move {
             let warm = async {
-                a.until(a.clock.now() + Vigil::new(&a.site.deployment).start_within())
+                a.until(a.clock.now() + Watchdog::new(&a.site.deployment).start_within())
                     .or(a.may_serve())
                     .await;
                 a.heard();
--- a/crates/agent/src/vigil.rs
+++ b/crates/agent/src/watchdog.rs
@@ -55,7 +55,7 @@
     Spoilt,
 }
 
-pub struct Vigil {
+pub struct Watchdog {
     pushed: bool,
     longest: Duration, // wait of a call
     rng: Pcg64Mcg,
@@ -63,11 +63,11 @@
     silent: bool, // a watch that stood, and was not begun anew yet
 }
 
-impl Vigil {
-    pub fn new(d: &Deployment) -> Vigil {
+impl Watchdog {
+    pub fn new(d: &Deployment) -> Watchdog {
         let longest = if d.list_shared { (d.ask_within * ASKED_WAIT).min(WAIT_MOST) } else { PUSHED_WAIT };
         let rng = Pcg64Mcg::seed_from_u64(d.seed);
-        Vigil { pushed: !d.list_shared, longest, rng, told: false, silent: false }
+        Watchdog { pushed: !d.list_shared, longest, rng, told: false, silent: false }
     }
 
     /// Calls are free: the list is asked for at once, and again and again while no answer comes.
--- a/crates/agent/tests/lists.rs
+++ b/crates/agent/tests/lists.rs
@@ -5,7 +5,7 @@
 use tulipwall::{Answer, Choice, Command};
 use tulipwall_agent::memory::{clock::Clock, list::List};
 use tulipwall_agent::reactor::{self, Timer};
-use tulipwall_agent::vigil::{Ended, Vigil};
+use tulipwall_agent::watchdog::{Ended, Watchdog};
 use tulipwall_agent::wire::listing::Listing;
 use tulipwall_deployment::{Fields, Site};
 use tulipwall_standins::*;
@@ -127,13 +127,13 @@
         for seed in 0..agents {
             let mut d = site(agents as u32).deployment;
             (d.seed, d.list_shared, d.ask_within) = (seed, true, Duration::from_millis(within));
-            let mut vigil = Vigil::new(&d);
-            vigil.told();
-            let wait = vigil.wait(false);
-            let mut at = wait + vigil.late() + vigil.again(Ended::Silent).unwrap();
+            let mut watchdog = Watchdog::new(&d);
+            watchdog.told();
+            let wait = watchdog.wait(false);
+            let mut at = wait + watchdog.late() + watchdog.again(Ended::Silent).unwrap();
             calls.push(at);
             if seed % 2 == 0 {
-                at += vigil.second().unwrap();
+                at += watchdog.second().unwrap();
                 calls.push(at);
             }
             // With a connection that comes up late, and some time to answer.
@@ -141,7 +141,7 @@
             let answer = Duration::from_millis(if seed % 2 == 0 { 800 } else { 1300 });
             assert!(at + answer < told + Duration::from_millis(250), "{at:?} of {told:?} after {wait:?}");
             // What fails then is spread by the module.
-            assert_eq!((vigil.again(Ended::Silent), vigil.second()), (None, None));
+            assert_eq!((watchdog.again(Ended::Silent), watchdog.second()), (None, None));
         }
         let second =
             |c: &Duration| calls.iter().filter(|o| **o >= *c && **o < *c + Duration::from_secs(1)).count();
@@ -155,17 +155,17 @@
 
 #[test]
 fn where_calls_are_free_silence_shows_within_the_time_of_one_short_wait() {
-    let mut vigil = Vigil::new(&site(300).deployment);
-    assert_eq!(vigil.wait(true), Duration::ZERO);
-    vigil.told();
-    let notice = vigil.wait(false) + vigil.late() + vigil.again(Ended::Silent).unwrap();
-    assert!(notice + vigil.within(true) * 2 < Duration::from_secs(6), "{notice:?} and two late tries");
+    let mut watchdog = Watchdog::new(&site(300).deployment);
+    assert_eq!(watchdog.wait(true), Duration::ZERO);
+    watchdog.told();
+    let notice = watchdog.wait(false) + watchdog.late() + watchdog.again(Ended::Silent).unwrap();
+    assert!(notice + watchdog.within(true) * 2 < Duration::from_secs(6), "{notice:?} and two late tries");
     // What discovery holds at its return counts at once: the next quick try is within the grace.
-    assert!(vigil.within(false) + vigil.gap(Ended::Silent) < Duration::from_millis(250));
+    assert!(watchdog.within(false) + watchdog.gap(Ended::Silent) < Duration::from_millis(250));
     // No busy loop on lists that end or are spoilt at every call.
     for ended in [Ended::Broken, Ended::Spoilt] {
-        vigil.told();
-        assert!(vigil.again(ended).unwrap() >= Duration::from_millis(50));
+        watchdog.told();
+        assert!(watchdog.again(ended).unwrap() >= Duration::from_millis(50));
     }
 }
 
