--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -170,10 +170,10 @@
         agent.until(agent.clock.now() + agent.site.connect_within).await;
         Err(Outcome::NoConnection)
     };
-    let toll = Toll { agent, target, begun: agent.clock.now(), traffic: RefCell::default() };
+    let handshake = HandshakeCost { agent, target, begun: agent.clock.now(), traffic: RefCell::default() };
     let opening = async {
         let mut connection = Connection::open(target.address).await.map_err(|_| Outcome::NoConnection)?;
-        *toll.traffic.borrow_mut() = Some(connection.traffic.clone());
+        *handshake.traffic.borrow_mut() = Some(connection.traffic.clone());
         let startup = postgres::startup("worker", "catalog");
         connection.write(&startup).await.map_err(|_| Outcome::NoConnection)?;
         let mut hearing = Hearing::default();
@@ -186,20 +186,20 @@
     };
     let opened = opening.or(late).await.map(|c| Held::new(c, slot, agent.clock.now()));
     if opened.is_ok() {
-        toll.charge(true);
+        handshake.charge(true);
     }
     opened
 }
 
 /// What opening a connection takes, accounted for also where it is given up halfway.
-struct Toll<'a> {
+struct HandshakeCost<'a> {
     agent: &'a Agent,
     target: Target,
     begun: Duration,
     traffic: RefCell<Option<Rc<Traffic>>>,
 }
 
-impl Toll<'_> {
+impl HandshakeCost<'_> {
     fn charge(&self, open: bool) {
         let Some(traffic) = self.traffic.take() else { return };
         let ((out, back), now) = (traffic.charge(), self.agent.clock.now());
@@ -209,7 +209,7 @@
     }
 }
 
-impl Drop for Toll<'_> {
+impl Drop for HandshakeCost<'_> {
     fn drop(&mut self) {
         self.charge(false);
     }
