--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -255,8 +255,8 @@
         }
     }
 
-    pub fn make_room(&self) -> bool {
-        self.pools.borrow_mut().make_room()
+    pub fn evict_idle(&self) -> bool {
+        self.pools.borrow_mut().evict_idle()
     }
 
     pub fn sweep(&self) {
--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -162,7 +162,7 @@
     let slot = loop {
         match agent.sockets.appliance() {
             Some(slot) => break slot,
-            None if agent.make_room() => {}
+            None if agent.evict_idle() => {}
             None => return Err(Outcome::NotSent),
         }
     };
--- a/crates/agent/src/lifecycle/life.rs
+++ b/crates/agent/src/lifecycle/life.rs
@@ -146,7 +146,7 @@
 
     /// Asks the client that has been idle for longest to go; false when none was idle for a while. One that
     /// was not has likely written its next command already.
-    pub fn make_room(&self, now: Duration) -> bool {
+    pub fn evict_idle(&self, now: Duration) -> bool {
         let mut idle = self.idle.borrow_mut();
         let longest = idle.first_entry().filter(|e| now >= e.key().0);
         longest.map(|e| e.remove().notify(1)).is_some()
--- a/crates/agent/src/memory/pools.rs
+++ b/crates/agent/src/memory/pools.rs
@@ -191,7 +191,7 @@
     }
 
     /// Closes the connection that has been idle for longest; false when there is none.
-    pub fn make_room(&mut self) -> bool {
+    pub fn evict_idle(&mut self) -> bool {
         let oldest = self.idle.iter_mut().filter(|p| !p.is_empty()).min_by_key(|p| p[0].since);
         oldest.is_some_and(|p| p.pop_front().is_some())
     }
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -105,7 +105,7 @@
         let mut slot = agent.sockets.client();
         let beyond = if slot.is_none() { agent.sockets.beyond() } else { None };
         if agent.sockets.clients_crowd() {
-            agent.life.make_room(agent.clock.now());
+            agent.life.evict_idle(agent.clock.now());
         }
         if slot.is_none() && beyond.is_none() {
             agent.sockets.client_gone().or(Timer::after(ROOM_AGAIN)).await;
@@ -140,7 +140,7 @@
             Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(e) => {
                 log::warn!("accept: {e}");
-                agent.make_room();
+                agent.evict_idle();
                 Timer::after(ROOM_AGAIN).await;
             }
         }
