--- a/crates/agent/src/memory/pools.rs
+++ b/crates/agent/src/memory/pools.rs
@@ -47,30 +47,30 @@
 /// How many sockets are held. Each client has at most one command out, each command at most two deliveries.
 pub struct Sockets {
     clients: Rc<Side>,
-    beyond: Rc<Side>,
+    overflow: Rc<Side>,
     appliances: Rc<Side>,
 }
 
 impl Sockets {
     pub fn new(most: usize) -> Sockets {
-        let sockets = Sockets { clients: Side::of(0), beyond: Side::of(0), appliances: Side::of(0) };
+        let sockets = Sockets { clients: Side::of(0), overflow: Side::of(0), appliances: Side::of(0) };
         sockets.resize(most);
         sockets
     }
 
     /// Another bound on all. Who holds a socket beyond a lower one keeps it.
     pub fn resize(&self, most: usize) {
-        let beyond = (most / 32).max(2);
-        let room = most.saturating_sub(OTHERS + beyond).max(4);
-        self.beyond.most.set(beyond);
+        let overflow = (most / 32).max(2);
+        let room = most.saturating_sub(OTHERS + overflow).max(4);
+        self.overflow.most.set(overflow);
         let appliances = (room as f64 * APPLIANCES) as usize;
         self.clients.most.set(room - appliances);
         self.appliances.most.set(appliances);
     }
 
     /// A place for a client that is only told that there is none.
-    pub fn beyond(&self) -> Option<Slot> {
-        self.beyond.slot()
+    pub fn overflow(&self) -> Option<Slot> {
+        self.overflow.slot()
     }
 
     pub fn clients(&self) -> usize {
@@ -79,7 +79,7 @@
 
     /// No client is connected, nor one that is only told that there is no place.
     pub fn nobody(&self) -> bool {
-        self.clients.held.get() + self.beyond.held.get() == 0
+        self.clients.held.get() + self.overflow.held.get() == 0
     }
 
     pub fn client(&self) -> Option<Slot> {
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -103,11 +103,11 @@
 async fn accept(agent: &Rc<Agent>, listener: &Source<TcpListener>) -> io::Result<()> {
     loop {
         let mut slot = agent.sockets.client();
-        let beyond = if slot.is_none() { agent.sockets.beyond() } else { None };
+        let overflow = if slot.is_none() { agent.sockets.overflow() } else { None };
         if agent.sockets.clients_crowd() {
             agent.life.evict_idle(agent.clock.now());
         }
-        if slot.is_none() && beyond.is_none() {
+        if slot.is_none() && overflow.is_none() {
             agent.sockets.client_gone().or(Timer::after(ROOM_AGAIN)).await;
             continue;
         }
@@ -128,7 +128,7 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
             Ok(client) => {
                 slot = slot.or_else(|| agent.sockets.client());
-                match (slot, beyond) {
+                match (slot, overflow) {
                     (Some(slot), _) => welcome(agent, client, slot),
                     (None, Some(slot)) => {
                         agent.counters.clients_denied.add();
