Tests wait until a stalled agent stands still

Cause: SIGSTOP takes a moment on a busy machine; Program::stall returned at once, so a command could be read, and rightly sent, before the agent stood and its client had left. The stand-in waits for the process's state now, for both signals. Nothing is weakened: what is asserted stays. crossing, world and customers passed five times in a row beside eight busy loops on six cores.

--- a/crates/agent/tests/crossing.rs
+++ b/crates/agent/tests/crossing.rs
@@ -1,7 +1,6 @@
 //! Where two events cross: each case forces them to, with stand-ins that come late or an agent that stands still, and
 //! is judged by what clients and appliances saw.
 
-use rustix::process::Signal;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -91,11 +90,11 @@
     agent.terminate().unwrap();
     assert!(until(|| agent.log().contains("phase: Leaving")));
     sleep(ms(400));
-    agent.signal(Signal::STOP).unwrap();
+    agent.stall(true).unwrap();
     crosses();
     sleep(ms(250));
     assert!(!agent.log().contains("phase: Closing"), "it stood still before it closed");
-    agent.signal(Signal::CONT).unwrap();
+    agent.stall(false).unwrap();
 }
 
 // Clients that go.
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -1,5 +1,6 @@
 //! An agent as a process, with a configuration of the form that the platform gives.
 
+use crate::ground;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::ffi::OsString;
@@ -157,9 +158,18 @@
         self.child.id()
     }
 
-    /// Stops it where it stands, or lets it go on: an agent that stalls.
+    /// Stops it where it stands, or lets it go on: an agent that stalls. The signal takes a moment on a busy machine: that
+    /// it stands is waited for.
     pub fn stall(&self, stalls: bool) -> io::Result<()> {
-        self.signal(if stalls { Signal::STOP } else { Signal::CONT })
+        self.signal(if stalls { Signal::STOP } else { Signal::CONT })?;
+        let stands = || {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).unwrap_or_default();
+            stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+        };
+        match ground::until(|| stands() == stalls) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::TimedOut.into()),
+        }
     }
 
     /// Waits for its end; whether it ended well.
