--- a/crates/agent/tests/crossing.rs
+++ b/crates/agent/tests/crossing.rs
@@ -205,7 +205,8 @@
     client.ask_as("first", "payment", 2000);
     client.ask_as("second", "payment", 300);
     assert!(until(|| seen(&world, "s-0") == 1));
-    sleep(ms(300));
+    // By this one's arrival the second would still have time at its turn.
+    sleep(ms(450));
     client.ask_as("third", "payment", 2000);
     let codes = [(); 3].map(|()| client.told().unwrap().code());
     assert_eq!(codes, [None, Some("53300".into()), None]);
