Lists of 7,700 that are doubled, too long or empty are named, and what is known goes on

Cause, by tests of the size to come: an appliance that stands twice in a list was taken by its last line, so one told to drain was sent to where a second line said that it runs (List::take). A list beyond 4 MiB was named 'content-length'. A list without appliances was named nowhere; where nothing changed after it, the watch asked only for what was newer, and the agent denied all for good. A spoilt list was not named after a break: only the first way in which a watch ended was logged. Change: Listing::read takes the newer start of two lines; of one life neither line is believed, the list counts as spoilt and the id is named; lines that say the same are one. Agent::known: who has nothing to serve from asks for all. discovery::run names each way once an outage. Agent::listed names a list after which nothing runs.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -184,11 +184,14 @@
     }
 
     pub fn listed(&self, told: Listing) {
-        let complete = told.complete;
+        let (complete, served) = (told.complete, self.list.borrow().serves());
         let (entries, stale) = self.list.borrow_mut().take(told, &self.site, &self.clock);
         stale.into_iter().for_each(|i| self.pools.borrow_mut().forget(i));
         self.hand.list(&entries, complete);
         self.border.alive(|| self.builds());
+        if served && !self.list.borrow().serves() {
+            log::warn!("discovery: no appliance runs, of {}; commands are denied", self.list.borrow().len());
+        }
         if self.list.borrow().serves() {
             self.first_list.notify(usize::MAX);
         }
@@ -210,10 +213,10 @@
         self.list.borrow().version
     }
 
-    /// The version of the list that is known, where one is.
+    /// The version of the list that is known, where one is to serve from: who has nothing to lose asks for all of it.
     pub fn known(&self) -> Option<u64> {
         let list = self.list.borrow();
-        (!list.is_empty()).then_some(list.version)
+        list.serves().then_some(list.version)
     }
 
     pub fn appliance(&self, id: &str) -> Option<usize> {
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -32,6 +32,8 @@
 pub async fn run(agent: &Agent) {
     let (mut moves, mut owes, mut again) = (agent.moves(), false, None);
     let (mut watchdog, mut away) = (Watchdog::new(&agent.site.deployment), None);
+    // How its watches ended while it was away: each way is named once, as a break may hide a list that is spoilt.
+    let mut named = Vec::new();
     loop {
         let due = async {
             match again {
@@ -57,8 +59,12 @@
             agent.counters.list_silences.add();
         }
         if away.is_none() {
-            log::warn!("discovery: {what}; it is asked anew");
             away = Some(agent.clock.now());
+            named.clear();
+        }
+        if !named.contains(&ended) {
+            log::warn!("discovery: {what}; it is asked anew");
+            named.push(ended);
         }
         again = watchdog.again(ended).map(|gap| agent.clock.now() + gap);
         match again {
--- a/crates/agent/src/wire/http.rs
+++ b/crates/agent/src/wire/http.rs
@@ -44,7 +44,10 @@
         match name.trim().to_ascii_lowercase().as_str() {
             "content-length" => match value.parse::<usize>() {
                 Ok(n) if n <= BODY_MOST => length = Some(n),
-                _ => return malformed("HTTP: content-length"),
+                Ok(n) => {
+                    return malformed(format!("HTTP: a body of {n} bytes, {BODY_MOST} are read at most"))
+                }
+                Err(_) => return malformed("HTTP: content-length"),
             },
             "transfer-encoding" => chunked = value.eq_ignore_ascii_case("chunked"),
             "connection" => last = value.eq_ignore_ascii_case("close"),
--- /dev/null
+++ b/crates/agent/tests/large.rs
@@ -0,0 +1,58 @@
+//! Lists of the size to come on real sockets: taken in, spoilt, too long, empty, and whole again. One appliance stands
+//! behind all their entries.
+
+use serde_json::json;
+use tulipwall_standins::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_tulipwall-agent");
+const APPLIANCES: usize = 7_700;
+
+fn fleet(one: &discovery::Entry) -> Vec<discovery::Entry> {
+    (0..APPLIANCES).map(|n| discovery::Entry { id: format!("s-{n:08x}"), ..one.clone() }).collect()
+}
+
+fn says(agent: &Program, line: &str) {
+    assert!(ground::until(|| agent.log().contains(line)), "'{line}' is not in {}", agent.log());
+}
+
+#[test]
+fn lists_of_thousands_are_obeyed_and_what_is_wrong_with_them_is_one_line() {
+    let world = World::new(&["a"], program::lanes()).unwrap();
+    let one = world.unlisted(0, "s-0", 41, Ways::default()).unwrap();
+    world.discovery.tell(fleet(&one));
+    let agent = Program::start(BINARY, world.configuration("n1", 0).unwrap(), &[]).unwrap();
+    let mut client = Caller::connect(agent.address().unwrap()).unwrap();
+    let mut ask = || {
+        client.ask("view", 1000);
+        client.told().unwrap().code()
+    };
+    assert_eq!(ask(), None);
+
+    // Of two lines for one appliance neither is believed; the others go on.
+    let mut twice = world.discovery.known(0);
+    let mut other = twice["servers"][17].clone();
+    other["state"] = json!("terminating");
+    twice["servers"].as_array_mut().unwrap().push(other);
+    world.discovery.manner(Manner::Says(Speaker::http(&twice.to_string())));
+    says(&agent, "'s-00000011' stands twice");
+    assert_eq!(ask(), None);
+
+    // Beyond what is read nothing is believed: what is known goes on.
+    let long = "HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n{";
+    world.discovery.manner(Manner::Tells);
+    says(&agent, "heard again");
+    world.discovery.manner(Manner::Says(long.into()));
+    says(&agent, "a body of 4194305 bytes, 4194304 are read at most");
+    assert_eq!(ask(), None);
+
+    // By the rules, what a whole list lacks is gone.
+    let none = json!({"version": 99, "full": true, "servers": []}).to_string();
+    world.discovery.manner(Manner::Says(Speaker::http(&none)));
+    says(&agent, "no appliance runs, of 7700");
+    assert!(ask().is_some_and(|code| code == "53300"), "what cannot be sent is denied");
+
+    // Whole again, none of it changed since the version that was heard: who has nothing to serve from asks for all of it.
+    (0..100).for_each(|_| world.discovery.tell([]));
+    world.discovery.manner(Manner::Tells);
+    assert!(ground::until(|| ask().is_none()), "{}", agent.log());
+}
--- a/crates/membership/src/listing.rs
+++ b/crates/membership/src/listing.rs
@@ -1,6 +1,7 @@
 //! Discovery's lists of appliances.
 
 use serde_json::Value;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tulipwall::Standing;
@@ -13,7 +14,7 @@
     format!("{LIST}?after={version}&wait_ms={}", wait.as_millis())
 }
 
-#[derive(Debug)]
+#[derive(Debug, PartialEq)]
 pub struct Entry {
     pub id: String,
     pub address: SocketAddr,
@@ -46,16 +47,34 @@
     }
 
     pub fn read(list: &Fields) -> Result<Listing, String> {
-        let (mut entries, mut spoilt, mut doubtful) = (Vec::new(), None, Vec::new());
+        let (mut entries, mut spoilt, mut doubtful) = (Vec::<Entry>::new(), None, Vec::new());
+        let (mut at, mut twice) = (HashMap::<String, usize>::new(), BTreeSet::new());
         for told in list.array("servers")? {
             match Fields::of(told, "servers").and_then(|e| entry(&e)) {
-                Ok(entry) => entries.push(entry),
+                // Guards against two lines for one appliance that contradict each other: it may be told to leave. The
+                // newer start goes before the older one; of the same life neither line is believed. Harms one that runs.
+                Ok(entry) => match at.get(&entry.id).map(|i| &mut entries[*i]) {
+                    Some(other) if other.started_ms == entry.started_ms => {
+                        twice.extend((*other != entry).then_some(entry.id));
+                    }
+                    Some(other) if other.started_ms < entry.started_ms => *other = entry,
+                    Some(_) => {}
+                    None => {
+                        at.insert(entry.id.clone(), entries.len());
+                        entries.push(entry);
+                    }
+                },
                 Err(what) => {
                     doubtful.extend(told.get("id").and_then(Value::as_str).map(str::to_owned));
                     spoilt.get_or_insert(what);
                 }
             }
         }
+        if let Some(id) = twice.first() {
+            spoilt.get_or_insert(format!("field id: '{id}' stands twice, differently"));
+            entries.retain(|e| !twice.contains(&e.id));
+            doubtful.extend(twice);
+        }
         let (version, complete) = (list.whole("version")?, list.truth("full")?);
         Ok(Listing { version, complete, entries, spoilt, doubtful })
     }
