--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -59,11 +59,11 @@
             agent.counters.list_silences.add();
         }
         if away.is_none() {
-            away = Some(agent.clock.now());
-            named.clear();
-        }
-        if !named.contains(&ended) {
             log::warn!("discovery: {what}; it is asked anew");
+            away = Some(agent.clock.now());
+            named = vec![ended];
+        } else if !named.contains(&ended) {
+            log::warn!("discovery: then {what}");
             named.push(ended);
         }
         again = watchdog.again(ended).map(|gap| agent.clock.now() + gap);
