Stand-ins count their connections and bytes; a configuration is replaced whole

For tests of a SIGHUP: how many connections were opened to discovery and the platform, and how many bytes discovery wrote. `Program::renew` writes a file beside the configuration and renames it, as a platform does: an agent that is just reading the one before must not meet half of the next.

--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -59,6 +59,8 @@
     hushes: u64,           // how often open connections fell silent
     version: u64,
     entries: BTreeMap<String, (u64, Entry)>, // with the version of its last change
+    connections: usize,
+    written: usize, // bytes
     asked: usize,
     wholes: usize,
 }
@@ -147,6 +149,16 @@
         state.next = next.into_iter().collect();
     }
 
+    /// How many connections were opened to it.
+    pub fn connections(&self) -> usize {
+        self.shared.state().connections
+    }
+
+    /// Bytes of all answers so far.
+    pub fn written(&self) -> usize {
+        self.shared.state().written
+    }
+
     /// How often anything was asked.
     pub fn asked(&self) -> usize {
         self.shared.state().asked
@@ -178,6 +190,7 @@
 async fn talk(shared: &Shared, from: usize, mut stream: Async<TcpStream>) -> io::Result<()> {
     let (meets, hushes) = {
         let mut state = shared.state();
+        state.connections += 1;
         (state.next.pop_front(), state.hushes)
     };
     match meets {
@@ -211,6 +224,7 @@
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
+        shared.state().written += head.len() + body.len();
         stream.write_all(format!("{head}{body}").as_bytes()).await?;
     }
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -50,6 +50,7 @@
     votes: Vec<(Instant, Value)>,
     held: Option<Instant>, // the last vote to hold
     silent: bool,
+    connections: usize,
 }
 
 struct Shared {
@@ -86,12 +87,14 @@
 
 impl Platform {
     pub fn start(news: News) -> io::Result<Platform> {
-        let state = State { news, notes: Vec::new(), votes: Vec::new(), held: None, silent: false };
+        let state =
+            State { news, notes: Vec::new(), votes: Vec::new(), held: None, silent: false, connections: 0 };
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: Event::new() });
         let ends = Arc::<Ends>::default();
         let s = shared.clone();
         let serve = move |stream| {
             let shared = s.clone();
+            shared.state().connections += 1;
             async move {
                 let _ = talk(&shared, stream).await;
             }
@@ -136,6 +139,11 @@
         self.shared.state().silent = silent;
     }
 
+    /// How many connections were opened to it.
+    pub fn connections(&self) -> usize {
+        self.shared.state().connections
+    }
+
     /// Ends all connections.
     pub fn cut(&self) {
         self.ends.end();
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -149,7 +149,10 @@
 
     /// Replaces the configuration's text and says so.
     pub fn renew(&self, text: &str) -> io::Result<()> {
-        std::fs::write(self.folder().join("config.json"), text)?;
+        // Whole or not at all, as a platform replaces it: the agent may just be reading the one before.
+        let next = self.folder().join("config.json.next");
+        std::fs::write(&next, text)?;
+        std::fs::rename(next, self.folder().join("config.json"))?;
         self.signal(Signal::HUP)
     }
 
