--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,6 +1,6 @@
 //! What the tasks of one agent share, each part with its owner.
 
-use crate::lifecycle::life::Life;
+use crate::lifecycle::life::{Life, Party};
 use crate::lifecycle::start::Start;
 use crate::memory::border::Border;
 use crate::memory::counters::Counters;
@@ -15,14 +15,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::{Crossings, News, Shape, Vote};
-use tulipwall_deployment::{Door, Site};
+use tulipwall_deployment::{Door, Installation, Mistake, Site};
 use tulipwall_membership::clock::Clock;
 use tulipwall_membership::list::{List, Target};
 use tulipwall_membership::listing::Listing;
 use tulipwall_zones::Names;
 
 pub struct Agent {
-    pub site: Site,
+    site: RefCell<Rc<Site>>,
+    installation: RefCell<Installation>,
+    pub owed_until: Cell<Duration>, // commands taken under longer expiries end by then
     pub listen: SocketAddr,
     pub door: Option<Door>,
     pub discovery: Cell<SocketAddr>,
@@ -41,8 +43,8 @@
     pub vote: RefCell<Option<(Vote, Duration)>>, // cast, and not yet written
     pub voted: Event,
     watched: RefCell<Option<Shape>>,
-    moves: Cell<u64>, // how often the parties' addresses were read anew
-    moved: Event,
+    pub discovery_moves: Moves,
+    pub platform_moves: Moves,
     first_list: Event,
     heard: Cell<bool>, // of discovery itself, or not in time
     first_heard: Event,
@@ -50,18 +52,46 @@
     pools: RefCell<Pools>,
 }
 
+/// How often a party's address was read anew and was another.
+pub struct Moves {
+    count: Cell<u64>,
+    moved: Event,
+}
+
+impl Moves {
+    fn none() -> Moves {
+        Moves { count: Cell::default(), moved: Event::new() }
+    }
+
+    fn tell(&self) {
+        self.count.set(self.count.get() + 1);
+        self.moved.notify(usize::MAX);
+    }
+
+    pub fn seen(&self) -> u64 {
+        self.count.get()
+    }
+
+    /// Ready once it moved more often than `seen`.
+    pub async fn beyond(&self, seen: u64) {
+        while self.count.get() == seen {
+            self.moved.listen().await;
+        }
+    }
+}
+
 impl Agent {
     pub fn start(start: Start) -> Rc<Agent> {
         let (clock, counters) = (Rc::new(Clock::start()), Rc::new(Counters::default()));
-        let (zones, lanes) = (start.site.zones.clone(), start.site.lanes.clone());
-        let names = Names { agent: start.name.clone(), zones, lanes };
+        let names = names(&start.name, &start.site);
+        let zoning = start.zoning();
         let agent = Rc::new(Agent {
             listen: start.listen,
             door: start.door,
             discovery: Cell::new(start.discovery),
             platform: Cell::new(start.platform),
             hand: Hand::new(start.site.deployment.clone(), clock.clone(), counters.clone()),
-            border: Border::new(clock.now(), start.zoning, names),
+            border: Border::new(clock.now(), zoning, names),
             clock,
             counters,
             life: Life::start(),
@@ -74,16 +104,18 @@
             vote: RefCell::default(),
             voted: Event::new(),
             watched: RefCell::new(start.watch.clone()),
-            moves: Cell::default(),
-            moved: Event::new(),
+            discovery_moves: Moves::none(),
+            platform_moves: Moves::none(),
             first_list: Event::new(),
             heard: Cell::default(),
             first_heard: Event::new(),
             list: RefCell::default(),
             pools: RefCell::new(Pools::new(start.site.idle_most)),
-            site: start.site,
+            site: RefCell::new(Rc::new(start.site)),
+            installation: RefCell::new(start.installation),
+            owed_until: Cell::default(),
         });
-        agent.hand.watch(&agent.site.deployment, start.watch.as_ref());
+        agent.hand.watch(&agent.site().deployment, start.watch.as_ref());
         if let Some(told) = start.news {
             agent.news(told);
         }
@@ -96,48 +128,97 @@
         agent
     }
 
-    /// Goes on under a configuration that was read anew. Its list and news are no newer than what discovery
-    /// and the platform tell at their new addresses; what only a restart can change is named and stays.
+    /// The settings in force. Numbers of commands in hand stand in each later one as well.
+    pub fn site(&self) -> Rc<Site> {
+        self.site.borrow().clone()
+    }
+
+    /// Goes on under a configuration that was read anew, all of it or none, but for what only a restart can change,
+    /// which is named and stays. A party whose address is another is asked anew there; its list and news in the file
+    /// are no newer than what it tells.
     pub fn renew(&self, start: Start) {
-        log::info!(agent = start.name.as_str(), discovery:% = start.discovery;
-            "{}: a new configuration; discovery at {}", start.name, start.discovery);
-        if start.listen != self.listen {
+        let Start {
+            name, listen, discovery, platform, sockets, memory, site, door, installation, watch, ..
+        } = start;
+        let was = self.site();
+        let named = match self.take_over(&name, site, &installation, watch.as_ref()) {
+            Ok(named) => named,
+            Err(mistakes) => {
+                let stays = "the configuration read before stays";
+                return mistakes.iter().for_each(|m| log::error!("installation: {m}; {stays}"));
+            }
+        };
+        log::info!(agent = name.as_str(), discovery:% = discovery;
+            "{name}: a new configuration; discovery at {discovery}; {named}");
+        if listen != self.listen {
             log::warn!("field listen: {} stays until a restart", self.listen);
         }
-        if start.door != self.door {
+        if door != self.door {
             log::warn!("installation: door stays as it was until a restart");
         }
-        if !start.site.same(&self.site) {
-            log::warn!("field settings: those read at the start stay until a restart");
+        *self.installation.borrow_mut() = installation;
+        self.sockets.resize(sockets);
+        self.buffers_most.set(memory / 4);
+        let asks = |s: &Site| (s.deployment.list_shared, s.deployment.ask_within);
+        if self.discovery.replace(discovery) != discovery || asks(&was) != asks(&self.site()) {
+            self.life.moves(Party::Discovery, false);
+            self.discovery_moves.tell();
         }
-        if start.watch != *self.watched.borrow() {
-            self.hand.watch(&self.site.deployment, start.watch.as_ref());
-            *self.watched.borrow_mut() = start.watch;
+        if self.platform.replace(platform) != platform {
+            self.life.moves(Party::Platform, platform.is_none());
+            self.platform_moves.tell();
+        }
+    }
+
+    /// Takes settings and installation over, with what is known and in hand; says what changed. Nothing does if the
+    /// installation names what the settings do not.
+    fn take_over(
+        &self,
+        name: &str,
+        read: Site,
+        installation: &Installation,
+        watch: Option<&Shape>,
+    ) -> Result<String, Vec<Mistake>> {
+        let (old, now) = (self.site(), self.clock.now());
+        let (site, by) = read.after(&old, &self.hand.in_hand());
+        let zoning = installation.zoning(&site)?;
+        let same = site.is(&old, &by);
+        if !same {
+            if site.longest_expiry < old.longest_expiry {
+                self.owed_until.set(self.owed_until.get().max(now + old.longest_expiry));
+            }
+            let zones = self.list.borrow_mut().rezone(&site);
+            self.pools.borrow_mut().renew(site.idle_most);
+            *self.site.borrow_mut() = Rc::new(site);
+            self.hand.renew(&self.site().deployment, &by, &zones, self.watched.borrow().as_ref());
         }
-        if let Err(what) = self.border.renew(self.clock.now(), start.zoning) {
-            log::warn!("installation: {what}");
+        let site = self.site();
+        if watch != self.watched.borrow().as_ref() {
+            self.hand.watch(&site.deployment, watch);
+            *self.watched.borrow_mut() = watch.cloned();
+        }
+        if !self.border.renew(now, zoning, names(name, &site), &by.lanes) {
+            log::warn!("zones: others than before; the account of what crosses begins anew");
         }
         if !self.border.watches() {
             self.hand.crossings(Crossings::default());
         }
         self.crossings();
-        self.discovery.set(start.discovery);
-        self.platform.set(start.platform);
-        self.sockets.resize(start.sockets);
-        self.buffers_most.set(start.memory / 4);
-        self.life.renew(1 + usize::from(start.platform.is_some()));
-        self.moves.set(self.moves.get() + 1);
-        self.moved.notify(usize::MAX);
-    }
-
-    pub fn moves(&self) -> u64 {
-        self.moves.get()
+        let [lanes, customers, zones] = site.named();
+        Ok(match same {
+            true => "settings as before".into(),
+            false => format!("new settings: {lanes} lanes, {customers} tenants, {zones} zones"),
+        })
     }
 
-    /// Ready once the addresses were read anew more often than `seen`.
-    pub async fn moved(&self, seen: u64) {
-        while self.moves.get() == seen {
-            self.moved.listen().await;
+    /// Lanes that only commands in hand kept go once these are over.
+    pub fn forget_lanes(&self) {
+        let old = self.site();
+        if old.lingers() && old.outlives(&self.hand.in_hand()) {
+            let (installation, watch) = (self.installation.borrow().clone(), self.watched.borrow().clone());
+            let names = self.border.agent();
+            // The same names, so that nothing can be wrong with them.
+            let _ = self.take_over(&names, (*old).clone(), &installation, watch.as_ref());
         }
     }
 
@@ -185,7 +266,7 @@
 
     pub fn listed(&self, told: Listing) {
         let (complete, served) = (told.complete, self.list.borrow().serves());
-        let (entries, stale) = self.list.borrow_mut().take(told, &self.site, &self.clock);
+        let (entries, stale) = self.list.borrow_mut().take(told, &self.site(), &self.clock);
         stale.into_iter().for_each(|i| self.pools.borrow_mut().forget(i));
         self.hand.list(&entries, complete);
         self.border.alive(|| self.builds());
@@ -271,3 +352,7 @@
         Timer::at(self.clock.instant(at)).await;
     }
 }
+
+fn names(agent: &str, site: &Site) -> Names {
+    Names { agent: agent.to_owned(), zones: site.zones.clone(), lanes: site.lanes.clone() }
+}
--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -14,6 +14,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tulipwall_deployment::Site;
 
 /// How long a client beyond the limit, or one that comes at the very end, has for its first command, and one that holds
 /// half a message for its rest while memory is short.
@@ -275,7 +276,7 @@
     } else {
         let read = read(agent, text);
         let heard = client.consume(took).map_or_else(|| agent.clock.now(), |at| agent.clock.at(at));
-        let open = read.as_ref().ok().map(|(statement, _)| agent.hand.open(&statement.id));
+        let open = read.as_ref().ok().map(|statement| agent.hand.open(&statement.id));
         match read {
             Ok(_) if open.as_ref().is_some_and(Option::is_none) => {
                 agent.counters.faulty.add();
@@ -286,11 +287,11 @@
                 postgres::denied(reply, None);
             }
             // Its time outlasts the program's: another agent may serve it.
-            Ok((statement, _)) if agent.life.ends_before(heard + statement.wait) => {
+            Ok(statement) if agent.life.ends_before(heard + statement.wait) => {
                 agent.counters.denied.add();
                 postgres::denied(reply, None);
             }
-            Ok((statement, lane)) => match live(agent, client, statement, lane, heard).await {
+            Ok(statement) => match live(agent, client, statement, heard).await {
                 Final::Satisfied(value) => {
                     agent.counters.satisfied.add();
                     *reply = value;
@@ -322,13 +323,18 @@
     Ok(Step::Answer)
 }
 
-fn read(agent: &Agent, text: &str) -> Result<(Statement, usize), Malformed> {
+fn read(agent: &Agent, text: &str) -> Result<Statement, Malformed> {
     let statement = Statement::parse(text)?;
-    match agent.site.lane(&statement.lane) {
-        Some(lane) if !statement.keyed && agent.site.deduplicates(lane) => {
+    lane(&agent.site(), &statement).map(|_| statement)
+}
+
+/// The lane of a statement under the settings in force.
+pub fn lane(site: &Site, statement: &Statement) -> Result<usize, Malformed> {
+    match site.lane(&statement.lane) {
+        Some(lane) if !statement.keyed && site.deduplicates(lane) => {
             malformed("statement: field k is missing")
         }
-        Some(lane) => Ok((statement, lane)),
+        Some(lane) => Ok(lane),
         None => malformed(format!("statement: field c: unknown lane '{}'", statement.lane)),
     }
 }
--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -1,6 +1,7 @@
 //! The life of one command, from top to bottom: the module is asked at each point of choice.
 
 use crate::agent::Agent;
+use crate::client::lane;
 use crate::delivery::{deliver, Order};
 use crate::memory::border::Meter;
 use crate::reactor::Timer;
@@ -50,11 +51,17 @@
     agent: &Rc<Agent>,
     client: &mut Connection,
     statement: Statement,
-    lane: usize,
     heard: Duration,
 ) -> Final {
     agent.may_serve().await;
-    let customer = statement.customer.as_deref().and_then(|c| agent.site.customer(c));
+    // Numbers are those of the settings in force as the module takes it, and stay its own to its end.
+    let (lane, customer, repeats) = {
+        let site = agent.site();
+        // They may have changed while it waited above: nothing ran, and a retry is told more.
+        let Ok(lane) = lane(&site, &statement) else { return Final::Denied(None) };
+        let customer = statement.customer.as_deref().and_then(|c| site.customer(c));
+        (lane, customer, site.deployment.lanes[lane].repeats)
+    };
     let expires = heard + statement.wait;
     let left = expires.saturating_sub(agent.clock.now());
     let Statement { work, again, .. } = statement;
@@ -74,7 +81,7 @@
                     nth: out.len(),
                     second_copy: out.iter().any(Option::is_some),
                     trial: false,
-                    bound: ran && bound(agent, lane),
+                    bound: ran && bound(repeats),
                 };
                 out.push(Some(send(agent, &statement, id, appliance, time_out, sending)));
                 look = at.or(look);
@@ -142,8 +149,8 @@
     };
     let trial = agent.hand.on_trial(target.build);
     let sending = Sending { to: target.zone, build: target.build, trial, ..sending };
-    let ticket = agent.border.sent(sent, sending, || agent.hand.rooms(agent.site.zones.len() + 1));
-    if target.zone != agent.site.deployment.zone {
+    let ticket = agent.border.sent(sent, sending, || agent.hand.rooms(agent.site().zones.len() + 1));
+    if target.zone != agent.site().deployment.zone {
         agent.crossings();
     }
     let (turn, held) = (agent.hand.turn(), agent.hold(appliance));
@@ -159,8 +166,7 @@
 }
 
 /// Whether what may have run must stay in its zone or cell.
-fn bound(agent: &Agent, lane: usize) -> bool {
-    let repeats = agent.site.deployment.lanes[lane].repeats;
+fn bound(repeats: Repeats) -> bool {
     matches!(repeats, Repeats::Deduplicated { group: Group::Zone | Group::Cell, .. })
 }
 
--- a/crates/agent/src/commands/check.rs
+++ b/crates/agent/src/commands/check.rs
@@ -9,7 +9,7 @@
     let told = match configuration {
         Some(c) => {
             let files = Files { configuration: Some(c.to_owned()), installation: Some(file.to_owned()) };
-            Start::read(&files).map(|start| match start.zoning {
+            Start::read(&files).map(|start| match start.zoning() {
                 Some(z) => {
                     let priced = z.links.iter().filter(|l| l.price != Default::default()).count();
                     format!("{} links priced, {} limits, routing {:?}", priced, z.budgets.len(), z.routing)
--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -167,7 +167,7 @@
         }
     };
     let late = async {
-        agent.until(agent.clock.now() + agent.site.connect_within).await;
+        agent.until(agent.clock.now() + agent.site().connect_within).await;
         Err(Outcome::NoConnection)
     };
     let handshake = HandshakeCost { agent, target, begun: agent.clock.now(), traffic: RefCell::default() };
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -2,6 +2,7 @@
 //! `watchdog` says.
 
 use crate::agent::Agent;
+use crate::lifecycle::life::Party;
 use crate::wire::connection::Connection;
 use crate::wire::{http, Malformed};
 use futures_lite::FutureExt;
@@ -30,8 +31,8 @@
 type Told = (Listing, bool);
 
 pub async fn run(agent: &Agent) {
-    let (mut moves, mut owes, mut again) = (agent.moves(), false, None);
-    let (mut watchdog, mut away) = (Watchdog::new(&agent.site.deployment), None);
+    let (mut moves, mut owes, mut again) = (agent.discovery_moves.seen(), false, None);
+    let (mut watchdog, mut away) = (Watchdog::new(&agent.site().deployment), None);
     // How its watches ended while it was away: each way is named once, as a break may hide a list that is spoilt.
     let mut named = Vec::new();
     loop {
@@ -45,11 +46,12 @@
                 }
             }
         };
-        due.or(agent.moved(moves)).await;
-        owes |= agent.moves() != moves;
-        moves = agent.moves();
+        due.or(agent.discovery_moves.beyond(moves)).await;
+        owes |= agent.discovery_moves.seen() != moves;
+        moves = agent.discovery_moves.seen();
+        watchdog.renew(&agent.site().deployment);
         let moved = async {
-            agent.moved(moves).await;
+            agent.discovery_moves.beyond(moves).await;
             None
         };
         // A change of the address ends the old watch and is no failure: the whole list is asked for at once.
@@ -106,7 +108,7 @@
             log::info!("discovery: heard again after {:.1?}", agent.clock.now().saturating_sub(since));
         }
         if std::mem::take(owes) {
-            agent.life.heard();
+            agent.life.heard(Party::Discovery);
         }
         if last {
             return End(Ended::Broken, "it closes after an answer".into());
--- a/crates/agent/src/lifecycle/life.rs
+++ b/crates/agent/src/lifecycle/life.rs
@@ -31,10 +31,17 @@
     Stopped,
 }
 
+/// Whom the agent hears of the appliances and the builds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Party {
+    Discovery,
+    Platform,
+}
+
 pub struct Life {
     phase: Cell<Phase>,
     changed: Event,
-    awaited: Cell<usize>, // parties not yet heard at their new addresses
+    awaited: Cell<[bool; 2]>, // parties not yet heard at their new addresses
     idle: RefCell<BTreeMap<(Duration, u64), Event>>, // clients between commands, the first to go first
     idled: Cell<u64>,
     ends: Cell<Option<Duration>>, // when the last command does, known once it closes
@@ -67,18 +74,25 @@
         }
     }
 
-    /// A new configuration was read, also while another is under way: so many parties move.
-    pub fn renew(&self, parties: usize) {
-        self.awaited.set(parties);
-        if self.phase.get() == Phase::Serving {
+    /// A new configuration was read, also while another is under way: this party is to be heard at a new address, or is
+    /// `gone`.
+    pub fn moves(&self, party: Party, gone: bool) {
+        self.awaits(party, !gone);
+        if !gone && self.phase.get() == Phase::Serving {
             self.reach(Phase::Renewing);
         }
     }
 
-    /// One more party was heard at its new address.
-    pub fn heard(&self) {
-        self.awaited.set(self.awaited.get().saturating_sub(1));
-        if self.awaited.get() == 0 && self.phase.get() == Phase::Renewing {
+    /// A party was heard at its new address.
+    pub fn heard(&self, party: Party) {
+        self.awaits(party, false);
+    }
+
+    fn awaits(&self, party: Party, awaited: bool) {
+        let mut all = self.awaited.get();
+        all[party as usize] = awaited;
+        self.awaited.set(all);
+        if all == [false; 2] && self.phase.get() == Phase::Renewing {
             log::info!(phase:? = Phase::Serving; "phase: {:?}", Phase::Serving);
             self.phase.set(Phase::Serving);
         }
--- a/crates/agent/src/lifecycle/signals.rs
+++ b/crates/agent/src/lifecycle/signals.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// How often it is looked whether signals have come.
@@ -31,16 +32,44 @@
     }
 }
 
+/// A configuration that is being read, beside all commands: large settings take a while.
+struct Reading(Result<JoinHandle<Read>, Box<Read>>);
+
+type Read = Result<Start, Vec<String>>;
+
+impl Reading {
+    fn begin(files: &Files) -> Reading {
+        let own = files.clone();
+        let begun = std::thread::Builder::new().name("settings".into()).spawn(move || Start::read(&own));
+        // Without a thread of its own all else waits for it.
+        Reading(begun.map_err(|_| Box::new(Start::read(files))))
+    }
+
+    fn is_over(&self) -> bool {
+        self.0.as_ref().map_or(true, JoinHandle::is_finished)
+    }
+
+    fn end(self) -> Read {
+        match self.0 {
+            Ok(thread) => thread.join().unwrap_or_else(|_| Err(vec!["configuration: not read".into()])),
+            Err(read) => *read,
+        }
+    }
+}
+
 /// SIGUSR1 prints the counters, SIGHUP reads the configuration again, also on the way out; SIGTERM takes the
 /// program through its last phases.
 pub async fn obey(agent: &Agent, signals: Signals, files: &Files) {
-    let mut asked = None;
+    let (mut asked, mut reading) = (None, None::<Reading>);
     loop {
         if signals.usr1.swap(false, Ordering::Relaxed) {
             log::info!("{}; {}", agent.counters, agent.kept());
         }
-        if signals.hup.swap(false, Ordering::Relaxed) {
-            match Start::read(files) {
+        if reading.is_none() && signals.hup.swap(false, Ordering::Relaxed) {
+            reading = Some(Reading::begin(files));
+        }
+        if let Some(read) = reading.take_if(|r| r.is_over()) {
+            match read.end() {
                 Ok(start) => agent.renew(start),
                 Err(faults) => faults
                     .iter()
@@ -53,7 +82,7 @@
             agent.life.reach(Phase::Leaving);
         }
         if let Some(closes) = asked.map(|at| at + LEAVING).filter(|at| now >= *at) {
-            let last = closes + agent.site.longest_expiry.max(LEAST_EXPIRY);
+            let last = (closes + agent.site().longest_expiry.max(LEAST_EXPIRY)).max(agent.owed_until.get());
             agent.life.close(last);
             if agent.life.is_shut() && agent.sockets.nobody() || now >= last + LAST_WORDS {
                 return agent.life.reach(Phase::Stopped);
--- a/crates/agent/src/lifecycle/start.rs
+++ b/crates/agent/src/lifecycle/start.rs
@@ -30,7 +30,7 @@
     pub site: Site,
     pub log: Option<LogForm>,
     pub door: Option<Door>,
-    pub zoning: Option<Zoning>,
+    pub installation: Installation,
     pub watch: Option<Shape>,
 }
 
@@ -46,9 +46,15 @@
         let Some(path) = &files.installation else { return Ok(start) };
         let installation = read_installation(path)?;
         let named = |mistakes| named(path, mistakes);
-        let zoning = installation.zoning(&start.site).map_err(named)?;
+        installation.zoning(&start.site).map_err(named)?;
         let watch = installation.watch(&start.site).map_err(named)?;
-        Ok(Start { log: installation.log, door: installation.door, zoning, watch, ..start })
+        let (log, door) = (installation.log, installation.door.clone());
+        Ok(Start { log, door, installation, watch, ..start })
+    }
+
+    /// What the installation says of zones, in the numbers of these settings; looked at for mistakes as it was read.
+    pub fn zoning(&self) -> Option<Zoning> {
+        self.installation.zoning(&self.site).unwrap_or_default()
     }
 
     pub fn parse(bytes: &[u8]) -> Result<Start, String> {
@@ -58,7 +64,7 @@
         let news = i.news.as_ref().map(platform::told).transpose();
         let news = news.map_err(|e| format!("deployer.news: {e}"))?;
         let Instance { name, listen, discovery, platform, sockets, memory, site, .. } = i;
-        let (log, door, zoning, watch) = (None, None, None, None);
+        let (log, door, installation, watch) = (None, None, Installation::default(), None);
         Ok(Start {
             name,
             listen,
@@ -71,7 +77,7 @@
             site,
             log,
             door,
-            zoning,
+            installation,
             watch,
         })
     }
--- a/crates/agent/src/memory/border.rs
+++ b/crates/agent/src/memory/border.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
-use tulipwall::{Crossings, Outcome, Room};
+use tulipwall::{Crossings, Origin, Outcome, Room};
 use tulipwall_zones::{Ended, Flaw, Line, Names, Opening, Place, Sending, Ticket, Wall, Zones, Zoning};
 
 /// How often a budget that is spent is written of.
@@ -30,23 +30,38 @@
         }
     }
 
+    /// The name of the agent.
+    pub fn agent(&self) -> String {
+        self.names.borrow().agent.clone()
+    }
+
     /// Whether anything is accounted for.
     pub fn watches(&self) -> bool {
         self.zones.borrow().is_some()
     }
 
-    /// Goes on under an installation read anew. The account and what is spent stay as long as there is one.
-    pub fn renew(&self, now: Duration, zoning: Option<Zoning>) -> Result<(), &'static str> {
+    /// Goes on under an installation and settings read anew, the lanes numbered as `by` says. The account and what is
+    /// spent stay as long as there is one and the zones are those of before; says whether they do.
+    pub fn renew(&self, now: Duration, zoning: Option<Zoning>, names: Names, by: &[Origin]) -> bool {
         let mut zones = self.zones.borrow_mut();
-        match (zones.as_mut(), zoning) {
-            (Some(z), Some(zoning)) => return z.renew(now, zoning),
-            (None, Some(zoning)) => {
+        let before = self.names.replace(names);
+        let goes_on = match (zones.as_mut(), zoning) {
+            (Some(z), Some(zoning)) if before.zones == self.names.borrow().zones => z.renew(now, zoning, by),
+            (was, Some(zoning)) => {
+                let goes_on = was.is_none();
                 *zones = Some(Zones::new(now, zoning));
                 self.since.set(now);
+                return goes_on;
+            }
+            (_, None) => {
+                *zones = None;
+                true
             }
-            (_, None) => *zones = None,
+        };
+        if !goes_on {
+            self.since.set(now);
         }
-        Ok(())
+        goes_on
     }
 
     pub fn taken(&self, now: Duration, lane: usize) {
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -91,6 +91,21 @@
         self.keys.borrow_mut().clear();
     }
 
+    /// What commands in hand count in.
+    pub fn in_hand(&self) -> InHand {
+        self.choice.borrow().in_hand()
+    }
+
+    /// From now on these settings decide, numbered as `by` says; `zones` are appliances whose zone has another number.
+    pub fn renew(&self, d: &Deployment, by: &Numbering, zones: &[(usize, usize)], shape: Option<&Shape>) {
+        let mut choice = self.choice.borrow_mut();
+        choice.renew(self.clock.now(), d, by);
+        choice.rezone(zones);
+        if let (Some(watch), Some(shape)) = (self.watch.borrow_mut().as_mut(), shape) {
+            watch.renew(d, shape);
+        }
+    }
+
     /// Where the watched settings would have decided otherwise so far; nothing while none are watched.
     pub fn otherwise(&self) -> Option<Otherwise> {
         self.watch.borrow().as_ref().map(|w| w.counts)
--- a/crates/agent/src/memory/pools.rs
+++ b/crates/agent/src/memory/pools.rs
@@ -151,6 +151,11 @@
         Pools { idle: Vec::new(), idle_most: idle_most.mul_f64(0.8) }
     }
 
+    /// The same, read anew.
+    pub fn renew(&mut self, idle_most: Duration) {
+        self.idle_most = idle_most.mul_f64(0.8);
+    }
+
     /// An open connection that has rested, the longest idle first. With how many were found closed.
     pub fn take(&mut self, now: Duration, appliance: usize) -> (Option<Held>, usize) {
         let Some(pool) = self.idle.get_mut(appliance) else { return (None, 0) };
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -2,6 +2,7 @@
 //! that is heard out once the address has changed.
 
 use crate::agent::Agent;
+use crate::lifecycle::life::Party;
 use crate::wire::connection::Connection;
 use crate::wire::platform::{self, Line};
 use crate::wire::Malformed;
@@ -48,20 +49,20 @@
     let calls = Rc::new(Calls::default());
     let mut pause = PAUSE;
     loop {
-        let moves = agent.moves();
+        let moves = agent.platform_moves.seen();
         let Some(address) = agent.platform.get() else {
-            agent.moved(moves).await;
+            agent.platform_moves.beyond(moves).await;
             calls.owes.set(true);
             continue;
         };
         let mut talk = None;
         let moved = async {
-            agent.moved(moves).await;
+            agent.platform_moves.beyond(moves).await;
             "its address has changed".to_owned()
         };
         let what = moved.or(converse(agent, address, &calls, &mut talk)).await;
         log::debug!("platform: {what}");
-        if agent.moves() != moves {
+        if agent.platform_moves.seen() != moves {
             // At once, and the old connection is heard out meanwhile: what it tells is not told again.
             calls.owes.set(true);
             if let Some(talk) = talk {
@@ -82,8 +83,8 @@
             // It was not written and never will count.
             agent.hand.reply(Reply::Refused);
         }
-        agent.moved(moves).or(agent.until(agent.clock.now() + pause)).await;
-        calls.owes.set(calls.owes.get() || agent.moves() != moves);
+        agent.platform_moves.beyond(moves).or(agent.until(agent.clock.now() + pause)).await;
+        calls.owes.set(calls.owes.get() || agent.platform_moves.seen() != moves);
     }
 }
 
@@ -119,7 +120,7 @@
     loop {
         match lines(agent, talk, calls, true) {
             Ok(0) => {}
-            Ok(_) if calls.owes.take() => agent.life.heard(),
+            Ok(_) if calls.owes.take() => agent.life.heard(Party::Platform),
             Ok(_) => {}
             Err(garbage) => {
                 log::warn!("platform: {garbage}; its connection is closed");
@@ -128,7 +129,7 @@
         }
         if let Some((vote, cast)) = agent.vote.take() {
             // One that waited for its connection for as long as an answer may take is cast anew.
-            if agent.clock.now() < cast + agent.site.deployment.rollout.vote_wait {
+            if agent.clock.now() < cast + agent.site().deployment.rollout.vote_wait {
                 let id = calls.next();
                 if let Err(e) = talk.connection.write(platform::vote(id, &vote).as_bytes()).await {
                     agent.hand.reply(Reply::Refused);
@@ -187,12 +188,12 @@
         match line {
             Line::News(told) if all => agent.news(told),
             Line::Flag { appliance, lane, age } if all => {
-                if let (Some(a), Some(l)) = (agent.appliance(&appliance), agent.site.lane(&lane)) {
+                if let (Some(a), Some(l)) = (agent.appliance(&appliance), agent.site().lane(&lane)) {
                     agent.hand.flag(a, l, age);
                 }
             }
             Line::Counted { build, lane, deliveries, failed, took, age } if all => {
-                if let Some(lane) = agent.site.lane(&lane) {
+                if let Some(lane) = agent.site().lane(&lane) {
                     let (deliveries, failed) = (deliveries.into(), failed.into());
                     agent.hand.tally(&Tally { build, lane, deliveries, failed, took, age });
                 }
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -64,7 +64,7 @@
         let a = agent.clone();
         let ready = async move {
             let warm = async {
-                a.until(a.clock.now() + Watchdog::new(&a.site.deployment).start_within())
+                a.until(a.clock.now() + Watchdog::new(&a.site().deployment).start_within())
                     .or(a.may_serve())
                     .await;
                 a.heard();
@@ -174,6 +174,7 @@
         due.notes.iter().for_each(|note| log::info!("{note}"));
         if now >= swept + Duration::from_secs(1) {
             agent.sweep();
+            agent.forget_lanes();
             swept = now;
         }
         if now >= said + WATCH_EVERY {
--- /dev/null
+++ b/crates/agent/tests/renewal.rs
@@ -0,0 +1,328 @@
+//! Settings taken over at a SIGHUP, whole or not at all, on real sockets: what commands meet before and after, what is
+//! asked of discovery and the platform, and that nobody is cut off.
+
+use serde_json::{json, Value};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use tulipwall_standins::appliance::CONNECTIONS;
+use tulipwall_standins::ground::{until, SOON};
+use tulipwall_standins::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_tulipwall-agent");
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn world(appliances: usize, ways: Ways) -> World {
+    let world = World::new(&["a"], program::lanes()).unwrap();
+    for n in 0..appliances {
+        world.appliance(0, &format!("s-{n}"), 41, ways.clone()).unwrap();
+    }
+    world
+}
+
+fn start(world: &World, change: impl FnOnce(&mut Value)) -> Program {
+    let mut configuration = world.configuration("n1", 0).unwrap();
+    change(&mut configuration);
+    Program::start(BINARY, configuration, &[]).unwrap()
+}
+
+fn caller(agent: &Program) -> Caller {
+    Caller::connect(agent.address().unwrap()).unwrap()
+}
+
+fn taken_over(agent: &Program) -> usize {
+    agent.log().matches("a new configuration").count()
+}
+
+/// Replaces the configuration and waits until it is in force; for how long that took.
+fn renew(agent: &Program, configuration: &Value) -> Duration {
+    let (before, begun) = (taken_over(agent), Instant::now());
+    agent.renew(&configuration.to_string()).unwrap();
+    assert!(until(|| taken_over(agent) > before), "{}", agent.log());
+    begun.elapsed()
+}
+
+fn class(name: &str, repeats: &str, quoted_ms: f64) -> Value {
+    json!({"name": name, "aim-ms": quoted_ms, "give-up-ms": 8000.0, "idempotency": repeats, "dedup-scope": "all",
+        "window-ms": 9000.0, "points": 3.0})
+}
+
+/// A command of its own; the code of what it was told, nothing for a value.
+fn ask(client: &mut Caller, id: &str, lane: &str) -> Option<String> {
+    client.ask_as(id, lane, 3000);
+    client.told().unwrap().code()
+}
+
+fn deliveries(world: &World, id: &str) -> usize {
+    world.seen().get(id).map_or(0, Vec::len)
+}
+
+/// What is asked of discovery and the platform: whole lists, and connections to either.
+fn asked(world: &World) -> (usize, usize, usize) {
+    (world.discovery.asked_whole(), world.discovery.connections(), world.platform.connections())
+}
+
+#[test]
+fn a_lane_and_a_tenant_that_are_added_serve_the_next_command_of_an_open_connection() {
+    let world = world(1, Ways::default());
+    let agent = start(&world, |_| {});
+    let mut client = caller(&agent);
+    assert_eq!(ask(&mut client, "v1", "view"), None);
+    assert!(ask(&mut client, "x1", "extra").is_some(), "no such lane yet");
+    let before = asked(&world);
+    let opened = || world.get("s-0").unwrap().counted()[&(0, CONNECTIONS.to_owned())].written;
+    let connections = opened();
+    let mut configuration = agent.configuration.clone();
+    let settings = &mut configuration["settings"];
+    settings["classes"].as_array_mut().unwrap().insert(0, class("extra", "repeatable", 400.0));
+    settings["tenants"] = json!([{"name": "acme", "share": 0.5}]);
+    renew(&agent, &configuration);
+    for (n, lane) in ["extra", "view", "send", "payment"].into_iter().enumerate() {
+        sleep(ms(30));
+        let key = if lane == "send" { ",k=k1" } else { "" };
+        client.say(&format!(
+            "SELECT body FROM objects WHERE oid = 'a1' /* id=r{n},c={lane},t=acme,d=3000{key} */"
+        ));
+        assert_eq!(client.told().unwrap().code(), None, "{lane}");
+    }
+    assert!(agent.log().contains("new settings: 4 lanes, 1 tenants, 1 zones"), "{}", agent.log());
+    // What went is found no more.
+    renew(&agent, &agent.configuration);
+    assert!(ask(&mut client, "x2", "extra").is_some());
+    assert_eq!(ask(&mut client, "v2", "view"), None);
+    assert_eq!((asked(&world), opened()), (before, connections), "nobody was asked anew, nor cut off");
+}
+
+#[test]
+fn a_quoted_time_decides_from_then_on() {
+    let world = world(2, Ways { work: ms(1200), ..Ways::default() });
+    let classes =
+        |quoted| json!([class("one", "repeatable", 10_000.0), class("other", "repeatable", quoted)]);
+    let agent = start(&world, |c| c["settings"]["classes"] = classes(10_000.0));
+    let mut client = caller(&agent);
+    assert_eq!(ask(&mut client, "one", "one"), None);
+    assert_eq!(deliveries(&world, "one"), 1, "late after a part of 10 s");
+    let mut configuration = agent.configuration.clone();
+    configuration["settings"]["classes"] = classes(400.0);
+    renew(&agent, &configuration);
+    assert_eq!(ask(&mut client, "other", "other"), None);
+    assert_eq!(deliveries(&world, "other"), 2, "late after a part of 0.4 s");
+}
+
+/// Against a command in hand that is repeated, or not, by rules it was not taken under.
+#[test]
+fn a_lane_that_becomes_unrepeatable_and_one_that_becomes_repeatable_with_commands_in_hand() {
+    let world = world(3, Ways { act: Act::Silent, ..Ways::default() });
+    let classes = |view, payment| {
+        json!([
+            class("view", view, 4500.0),
+            class("send", "by_key", 400.0),
+            class("payment", payment, 4500.0)
+        ])
+    };
+    let agent = start(&world, |c| c["settings"]["classes"] = classes("repeatable", "once"));
+    let mut clients: Vec<Caller> = (0..4).map(|_| caller(&agent)).collect();
+    // Each shows to be late after 2 s.
+    clients[0].ask_as("view-before", "view", 7000);
+    clients[1].ask_as("payment-before", "payment", 7000);
+    assert!(until(|| deliveries(&world, "view-before") + deliveries(&world, "payment-before") == 2));
+    let mut configuration = agent.configuration.clone();
+    configuration["settings"]["classes"] = classes("once", "repeatable");
+    let took = renew(&agent, &configuration);
+    assert!(took < ms(1500), "in force before either is late: {took:?}");
+    clients[2].ask_as("view-after", "view", 5000);
+    clients[3].ask_as("payment-after", "payment", 5000);
+    assert!(until(|| deliveries(&world, "view-before") == 2 && deliveries(&world, "payment-after") >= 2));
+    // Another that changes nothing keeps them under their rules.
+    renew(&agent, &configuration);
+    for client in &mut clients {
+        client.stream.set_read_timeout(Some(SOON)).unwrap();
+        assert!(client.told().unwrap().code().is_some(), "nobody answers them");
+    }
+    assert_eq!((deliveries(&world, "view-after"), deliveries(&world, "payment-before")), (1, 1));
+}
+
+#[test]
+fn settings_at_fault_are_named_in_one_line_and_change_nothing() {
+    let world = world(1, Ways::default());
+    let agent = start(&world, |_| {});
+    let mut client = caller(&agent);
+    let before = asked(&world);
+    let spoilt = |what: &str, change: &dyn Fn(&mut Value)| {
+        let mut configuration = agent.configuration.clone();
+        let settings = &mut configuration["settings"];
+        settings["classes"].as_array_mut().unwrap().push(class("extra", "repeatable", 400.0));
+        change(settings);
+        let line = format!("{what}; the configuration read before stays");
+        let faults = || agent.log().matches("the configuration read before stays").count();
+        let (seen, over) = (faults(), taken_over(&agent));
+        agent.renew(&configuration.to_string()).unwrap();
+        assert!(until(|| faults() > seen), "{}", agent.log());
+        assert!(agent.log().contains(&line), "{line}: {}", agent.log());
+        assert_eq!((faults(), taken_over(&agent)), (seen + 1, over), "one line, and not taken over");
+    };
+    let tenants = |named: &[(&str, f64)]| -> Value {
+        named.iter().map(|(name, share)| json!({"name": name, "share": share})).collect()
+    };
+    let double = tenants(&[("acme", 0.1), ("other", 0.1), ("acme", 0.2)]);
+    spoilt("field tenants: the tenant 'acme' stands twice", &|s| s["tenants"] = double.clone());
+    let beyond = tenants(&[("acme", 1.5)]);
+    spoilt("field share: tenant 'acme': a share from 0 to 1 is wanted", &|s| s["tenants"] = beyond.clone());
+    spoilt("field classes: the class 'view' stands twice", &|s| {
+        s["classes"].as_array_mut().unwrap().push(class("view", "once", 400.0));
+    });
+    spoilt("field zones: the zone 'a' stands twice", &|s| s["zones"] = json!(["a", "b", "a"]));
+    spoilt("field aim-ms: a number is wanted", &|s| s["classes"][1]["aim-ms"] = "soon".into());
+    assert!(ask(&mut client, "x", "extra").is_some(), "nothing of them is in force");
+    assert_eq!(ask(&mut client, "v", "view"), None);
+    assert_eq!(asked(&world), before);
+    // A start is refused.
+    let mut configuration = world.configuration("n2", 0).unwrap();
+    configuration["settings"]["tenants"] = double.clone();
+    let mut refused = Program::start(BINARY, configuration, &[]).unwrap();
+    assert!(!refused.ended_well().unwrap());
+    assert!(
+        refused.log().contains("settings: field tenants: the tenant 'acme' stands twice"),
+        "{}",
+        refused.log()
+    );
+}
+
+/// Against hundreds of agents that ask discovery for whole lists, and open their connections anew, at each change.
+#[test]
+fn who_did_not_move_is_neither_asked_nor_connected_to_anew() {
+    let (world, next) =
+        (world(1, Ways::default()), Platform::start(News::now(41, 0, "released", 1.0)).unwrap());
+    let agent = start(&world, |_| {});
+    let mut client = caller(&agent);
+    assert!(until(|| world.platform.connections() == 1));
+    let before = asked(&world);
+    let mut configuration = agent.configuration.clone();
+    for n in 0..20 {
+        // Every other one changes something.
+        configuration["settings"]["classes"][0]["aim-ms"] = (400 + n / 2).into();
+        configuration["limits"]["sockets"] = (1024 + n / 2).into();
+        renew(&agent, &configuration);
+        assert_eq!(ask(&mut client, &format!("v{n}"), "view"), None);
+    }
+    sleep(ms(300));
+    assert_eq!(asked(&world), before);
+    assert!(!agent.log().contains("Renewing"), "{}", agent.log());
+    // Who moves is, alone.
+    configuration["deployer"]["address"] = next.address.to_string().into();
+    renew(&agent, &configuration);
+    assert!(until(|| next.connections() == 1 && agent.log().matches("phase: Serving").count() == 2));
+    assert_eq!(asked(&world), before);
+    let discovery = Discovery::start(1).unwrap();
+    discovery.tell(world.discovery.entries());
+    configuration["discovery"] = discovery.address(0).to_string().into();
+    renew(&agent, &configuration);
+    assert!(until(|| agent.log().matches("phase: Serving").count() == 3));
+    // A first try may be late, and is made again.
+    let wholes = discovery.asked_whole();
+    assert!(wholes >= 1);
+    assert_eq!((next.connections(), asked(&world)), (1, before));
+    // Another way to ask is a move as well.
+    configuration["settings"]["discovery"] = "ask".into();
+    renew(&agent, &configuration);
+    assert!(until(|| agent.log().matches("phase: Serving").count() == 4));
+    assert!(discovery.asked_whole() > wholes);
+    assert_eq!(next.connections(), 1);
+    assert_eq!(ask(&mut client, "last", "view"), None);
+}
+
+#[test]
+fn what_only_a_restart_can_change_is_named_and_the_rest_is_taken_over() {
+    let world = world(1, Ways::default());
+    let agent = start(&world, |_| {});
+    let mut client = caller(&agent);
+    let mut configuration = agent.configuration.clone();
+    configuration["listen"] = program::free().to_string().into();
+    configuration["settings"]["classes"].as_array_mut().unwrap().push(class("extra", "once", 400.0));
+    renew(&agent, &configuration);
+    let line = format!("field listen: {} stays until a restart", agent.address().unwrap());
+    assert!(until(|| agent.log().contains(&line)), "{}", agent.log());
+    assert_eq!(ask(&mut client, "x", "extra"), None);
+    caller(&agent);
+}
+
+/// Renewals one after another while commands come: each is answered once, none is lost, no client is cut off, and
+/// what may not run twice does not.
+#[test]
+fn two_hundred_renewals_under_load_lose_no_command() {
+    let ways = Ways { work: ms(15), steady: 0.3, cores: 8, ..Ways::default() };
+    let world = world(6, Ways { now_and_then: vec![(Act::Fails, 0.02), (Act::TurnsAway, 0.02)], ..ways });
+    let agent = start(&world, |_| {});
+    caller(&agent);
+    let lane = |name: &str, weight, keyed| (name.to_owned(), weight, ms(1500), keyed);
+    let load = Load {
+        agent: agent.address().unwrap(),
+        rate: 150.0,
+        span: Duration::from_secs(8),
+        lanes: vec![lane("view", 4.0, false), lane("send", 4.0, true), lane("payment", 2.0, false)],
+        connections: 200,
+        seed: 17,
+    }
+    .begin();
+    let before = asked(&world);
+    let mut configuration = agent.configuration.clone();
+    for n in 0..200usize {
+        let settings = &mut configuration["settings"];
+        let view = if n % 4 < 2 { "repeatable" } else { "by_key" };
+        let mut classes = json!([
+            class("view", "repeatable", (300 + n % 7 * 100) as f64),
+            class("send", "by_key", 400.0),
+            class("payment", "once", 500.0)
+        ]);
+        classes
+            .as_array_mut()
+            .unwrap()
+            .extend((0..n % 3).map(|i| class(&format!("l{}", n + i), view, 400.0)));
+        // In another order each time, and with other rules for those that were there.
+        classes.as_array_mut().unwrap().rotate_left(n % 3);
+        settings["classes"] = classes;
+        settings["tenants"] =
+            (0..n % 20).map(|t| json!({"name": format!("t{}", n + t), "share": 0.01})).collect();
+        settings["zones"] = if n % 5 == 0 { json!(["a", "b"]) } else { json!(["c", "a"]) };
+        settings["domain"]["cap-scope"] = if n % 10 < 5 { "all".into() } else { "class".into() };
+        settings["limits"]["try-limit"] = (3 + n % 3).into();
+        renew(&agent, &configuration);
+        sleep(ms(10));
+    }
+    let answered = futures_lite::future::block_on(load);
+    assert!(answered.asked > 800, "{answered:?}");
+    assert_eq!((answered.unanswered, answered.lost.len()), (0, 0), "{:?}", answered.lost);
+    assert!(answered.satisfied * 10 > answered.asked * 9, "{answered:?}");
+    assert_eq!(answered.answered(), answered.asked);
+    assert!(world.ran_twice("payment").is_empty());
+    assert_eq!(asked(&world), before);
+    assert!(!agent.log().contains("panicked"), "{}", agent.log());
+}
+
+#[test]
+fn fifty_six_thousand_tenants_are_in_force_within_four_seconds() {
+    let world = world(1, Ways::default());
+    let tenants = |least: usize| -> Value {
+        (least..least + 56_000).map(|n| json!({"name": format!("tenant-{n}"), "share": 0.00002})).collect()
+    };
+    let agent = start(&world, |c| c["settings"]["tenants"] = tenants(0));
+    let mut client = caller(&agent);
+    let mut configuration = agent.configuration.clone();
+    for n in 1..4 {
+        configuration["settings"]["tenants"] = tenants(n * 100);
+        let name = format!("extra-{n}");
+        configuration["settings"]["classes"].as_array_mut().unwrap().push(class(&name, "repeatable", 400.0));
+        let text = configuration.to_string();
+        let begun = Instant::now();
+        agent.renew(&text).unwrap();
+        // By what a client is told, not by the log.
+        let served = (0..).find_map(|i| match ask(&mut client, &format!("n{n}-{i}"), &name) {
+            None => Some(begun.elapsed()),
+            Some(_) if begun.elapsed() > SOON => Some(SOON),
+            Some(_) => None,
+        });
+        assert!(served.unwrap() < Duration::from_secs(4), "{served:?}");
+    }
+}
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -4,6 +4,7 @@
 mod fields;
 mod installation;
 mod instance;
+mod renewal;
 mod service;
 
 pub use document::{Mistake, Place, Reader};
@@ -65,22 +66,43 @@
 }
 
 /// A deployment with the names that stand for its indices, and what connections are held to.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Site {
     pub deployment: Deployment,
+    /// By number, with those whose names have gone.
     pub lanes: Vec<String>,
-    pub customers: Vec<String>,
+    /// By number, with those whose names have gone.
     pub zones: Vec<String>,
     pub connect_within: Duration,
     pub idle_most: Duration,
     pub longest_expiry: Duration,
+    lane_numbers: HashMap<String, usize>,
+    customer_numbers: HashMap<String, usize>,
+    zone_numbers: HashMap<String, usize>,
+    over: Vec<usize>, // lanes in which only commands in hand count
+}
+
+/// The names of a list of settings by number; a name that stands there twice is at fault.
+fn numbers<'a>(
+    key: &str,
+    what: &str,
+    names: impl ExactSizeIterator<Item = &'a str>,
+) -> Result<HashMap<String, usize>, String> {
+    let mut numbers = HashMap::with_capacity(names.len());
+    for (n, name) in names.enumerate() {
+        if numbers.insert(name.to_owned(), n).is_some() {
+            return Err(format!("field {key}: the {what} '{name}' stands twice"));
+        }
+    }
+    Ok(numbers)
 }
 
 impl Site {
     pub fn read(s: &Fields, seed: u64) -> Result<Site, Fault> {
         let zones = names(s.array("zones")?)?;
+        let zone_numbers = numbers("zones", "zone", zones.iter().map(String::as_str))?;
         let zone = s.text("zone")?;
-        let Some(zone) = zones.iter().position(|z| z == zone) else {
+        let Some(zone) = zone_numbers.get(zone).copied() else {
             return Err(Fault::Undefined(format!("unknown zone '{zone}'")));
         };
         let (mut lanes, mut lane_names, mut longest_expiry) = (Vec::new(), Vec::new(), Duration::ZERO);
@@ -96,12 +118,19 @@
             };
             lanes.push(Lane { quoted: c.span("aim-ms")?, benefit: c.number_or("points", 1.0)?, repeats });
         }
-        let (mut customers, mut customer_names) = (Vec::new(), Vec::new());
-        for tenant in s.array_or_none("tenants")? {
+        let lane_numbers = numbers("classes", "class", lane_names.iter().map(String::as_str))?;
+        let tenants = s.array_or_none("tenants")?;
+        let (mut customers, mut customer_names) = (Vec::with_capacity(tenants.len()), Vec::new());
+        for tenant in tenants {
             let t = Fields::of(tenant, "tenants")?;
-            customer_names.push(t.text("name")?.to_owned());
-            customers.push(Customer { share: t.number_or("share", 1.0)? });
+            let (name, share) = (t.text("name")?, t.number_or("share", 1.0)?);
+            if !(0.0..=1.0).contains(&share) {
+                return Err(format!("field share: tenant '{name}': a share from 0 to 1 is wanted").into());
+            }
+            customer_names.push(name);
+            customers.push(Customer { share });
         }
+        let customer_numbers = numbers("tenants", "tenant", customer_names.into_iter())?;
         let (limits, rules, prices) = (s.inner("limits")?, s.inner("rules")?, s.inner("prices")?);
         let domain = s.inner("domain")?;
         let mut caps = Vec::new();
@@ -153,26 +182,19 @@
         Ok(Site {
             deployment,
             lanes: lane_names,
-            customers: customer_names,
             zones,
             connect_within: limits.span_or("dial-timeout-ms", 1000.0)?,
             idle_most: limits.span_or("conn-idle-ms", 30_000.0)?,
             longest_expiry,
+            lane_numbers,
+            customer_numbers,
+            zone_numbers,
+            over: Vec::new(),
         })
     }
 
-    /// Whether the settings say the same; the seed is another at each reading.
-    pub fn same(&self, other: &Site) -> bool {
-        let text = |s: &Site| {
-            let (mut d, names) = (s.deployment.clone(), (&s.lanes, &s.customers, &s.zones));
-            d.seed = 0;
-            format!("{d:?} {names:?} {:?} {:?} {:?}", s.connect_within, s.idle_most, s.longest_expiry)
-        };
-        text(self) == text(other)
-    }
-
     pub fn lane(&self, name: &str) -> Option<usize> {
-        self.lanes.iter().position(|l| l == name)
+        self.lane_numbers.get(name).copied()
     }
 
     /// Whether commands of this lane have a key by which repeats are told.
@@ -181,11 +203,16 @@
     }
 
     pub fn customer(&self, name: &str) -> Option<usize> {
-        self.customers.iter().position(|c| c == name)
+        self.customer_numbers.get(name).copied()
     }
 
     pub fn zone(&self, name: &str) -> Option<usize> {
-        self.zones.iter().position(|z| z == name)
+        self.zone_numbers.get(name).copied()
+    }
+
+    /// How many lanes, customers and zones have names.
+    pub fn named(&self) -> [usize; 3] {
+        [self.lane_numbers.len(), self.customer_numbers.len(), self.zone_numbers.len()]
     }
 }
 
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -13,6 +13,7 @@
 struct Kept {
     id: String,
     address: SocketAddr,
+    zone_name: String,
     zone: usize,
     build: u32,
     standing: Standing,
@@ -40,6 +41,11 @@
     pub build: u32,
 }
 
+/// A zone that the settings do not know is nobody's own.
+fn zone(site: &Site, name: &str) -> usize {
+    site.zone(name).unwrap_or(site.zones.len())
+}
+
 impl List {
     /// Takes in what discovery told: the entries for the module, and the appliances whose connections are
     /// of no more use. Of a spoilt list what can be read is obeyed; its version is not, so that all of it is told
@@ -50,8 +56,7 @@
         }
         let (mut listed, mut stale, mut named) = (Vec::new(), Vec::new(), BTreeSet::new());
         for e in told.entries {
-            // A zone that the settings do not know is nobody's own.
-            let zone = site.zone(&e.zone).unwrap_or(site.zones.len());
+            let zone = zone(site, &e.zone);
             let Some(appliance) = self.number_for(&e, zone) else { continue };
             named.insert(appliance);
             let kept = &mut self.kept[appliance];
@@ -71,7 +76,7 @@
                 _ => kept.left.max(told.version),
             };
             (kept.address, kept.zone, kept.build) = (e.address, zone, e.build);
-            (kept.standing, kept.started_ms) = (standing, e.started_ms);
+            (kept.standing, kept.started_ms, kept.zone_name) = (standing, e.started_ms, e.zone);
             listed.push(Listed {
                 appliance,
                 zone,
@@ -106,6 +111,18 @@
         (listed, stale)
     }
 
+    /// Zones are numbered anew: the appliances whose zone has another number, with that.
+    pub fn rezone(&mut self, site: &Site) -> Vec<(usize, usize)> {
+        let mut moved = Vec::new();
+        for (appliance, kept) in self.kept.iter_mut().enumerate() {
+            let now = zone(site, &kept.zone_name);
+            if std::mem::replace(&mut kept.zone, now) != now {
+                moved.push((appliance, now));
+            }
+        }
+        moved
+    }
+
     /// The number of this kind of machine; beyond so many, kinds are not told apart.
     fn kind(&mut self, name: &str) -> usize {
         let known = self.kinds.iter().position(|k| k == name);
@@ -129,7 +146,9 @@
         let number = self.kept.iter().position(free).unwrap_or(self.kept.len());
         let (id, address, build, standing) = (e.id.clone(), e.address, e.build, e.standing);
         let started_ms = e.started_ms;
-        let kept = Kept { id, address, zone, build, standing, started_ms, left: 0, held: Rc::default() };
+        let zone_name = e.zone.clone();
+        let kept =
+            Kept { id, address, zone_name, zone, build, standing, started_ms, left: 0, held: Rc::default() };
         match self.kept.get_mut(number) {
             Some(old) => drop(self.numbers.remove(&std::mem::replace(old, kept).id)),
             None => self.kept.push(kept),
--- a/crates/membership/src/watchdog.rs
+++ b/crates/membership/src/watchdog.rs
@@ -44,6 +44,15 @@
 /// How long a start waits for a first answer before it serves by the list it was given.
 const START_WITHIN: Duration = ms(300);
 
+/// The wait of a call.
+fn longest(d: &Deployment) -> Duration {
+    if d.list_shared {
+        (d.ask_within * ASKED_WAIT).min(WAIT_MOST)
+    } else {
+        PUSHED_WAIT
+    }
+}
+
 /// How a watch ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -65,9 +74,13 @@
 
 impl Watchdog {
     pub fn new(d: &Deployment) -> Watchdog {
-        let longest = if d.list_shared { (d.ask_within * ASKED_WAIT).min(WAIT_MOST) } else { PUSHED_WAIT };
         let rng = Pcg64Mcg::seed_from_u64(d.seed);
-        Watchdog { pushed: !d.list_shared, longest, rng, told: false, silent: false }
+        Watchdog { pushed: !d.list_shared, longest: longest(d), rng, told: false, silent: false }
+    }
+
+    /// Goes on under settings that were read anew.
+    pub fn renew(&mut self, d: &Deployment) {
+        (self.pushed, self.longest) = (!d.list_shared, longest(d));
     }
 
     /// Calls are free: the list is asked for at once, and again and again while no answer comes.
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -1237,7 +1237,8 @@
                 let a = &mut self.agents[agent];
                 if let Some(z) = &mut a.zones {
                     // Zones and lanes are those of before, which is all that is refused.
-                    let _ = z.renew(now, zoning);
+                    let lanes = vec![Origin::Same; zoning.lanes.len()];
+                    z.renew(now, zoning, &lanes);
                     if let Some(told) = z.crossings() {
                         a.choice.crossings(told);
                     }
--- a/crates/zones/src/account.rs
+++ b/crates/zones/src/account.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use tulipwall::Outcome;
+use tulipwall::{Origin, Outcome};
 
 const RECENT: (Duration, u32) = (Duration::from_secs(10), 360);
 const DAY: (Duration, u32) = (Duration::from_secs(60), 1440);
@@ -20,7 +20,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
     pub to: u16,
-    /// The number after the last lane stands for connections: what opening and keeping them took.
+    /// The number after the last lane stands for connections: what opening and keeping them took; the one after that
+    /// for all lanes that are gone.
     pub lane: u16,
     /// 0 for all builds that are gone.
     pub build: u32,
@@ -164,23 +165,89 @@
     }
 }
 
+impl Lane {
+    fn new() -> Lane {
+        Lane { rows: Vec::new(), day: Series::new(DAY.0, DAY.1), delays: None }
+    }
+
+    fn merge(&mut self, o: Lane) {
+        for (build, old) in o.rows {
+            let row = self.row(build);
+            row.tally.add(&old.tally);
+            row.recent.merge(&old.recent);
+        }
+        self.day.merge(&o.day);
+        match (&mut self.delays, o.delays) {
+            // Both have the same bounds.
+            (Some(all), Some(delays)) => drop(all.add(delays)),
+            (none, delays) => *none = none.take().or(delays),
+        }
+    }
+}
+
+/// What was kept by lane, under the lanes' numbers of now; the rest stays in `old`.
+pub(crate) fn carried<T>(by: &[Origin], old: &mut [Option<T>]) -> Vec<Option<T>> {
+    let mut of = |n: usize| old.get_mut(n).and_then(Option::take);
+    let mut kept: Vec<Option<T>> = by.iter().map(|_| None).collect();
+    for (n, o) in by.iter().enumerate() {
+        if let Origin::Was(was) = o {
+            kept[n] = of(*was);
+        }
+    }
+    for (n, o) in by.iter().enumerate() {
+        if matches!(o, Origin::Same | Origin::Over) {
+            kept[n] = of(n);
+        }
+    }
+    kept
+}
+
+/// What is kept beside the lanes of a zone: connections, and lanes that are gone.
+const OTHERS: usize = 2;
+
 /// The account of one agent. What it keeps follows zones x lanes x builds alive, never customers or keys.
 #[derive(Debug)]
 pub struct Account {
     own: usize,
     lanes: usize,
     zones: usize,
-    /// By zone and lane, the last of each zone for connections.
+    /// By zone and lane, the last two of each zone for connections and for lanes that are gone.
     links: Vec<Option<Box<Lane>>>,
     taken: Vec<u64>,
+    taken_gone: u64,
     near: Vec<Option<f64>>, // the usual time of a near answer, in seconds
 }
 
 impl Account {
     /// For an agent in zone `own` of so many zones with names.
     pub fn new(own: usize, zones: usize, lanes: usize) -> Account {
-        let links = (0..(zones + 1) * (lanes + 1)).map(|_| None).collect();
-        Account { own, lanes, zones, links, taken: vec![0; lanes], near: vec![None; lanes] }
+        let links = (0..(zones + 1) * (lanes + OTHERS)).map(|_| None).collect();
+        Account { own, lanes, zones, links, taken: vec![0; lanes], taken_gone: 0, near: vec![None; lanes] }
+    }
+
+    /// Goes on with other lanes, numbered as `by` says. What was counted of a lane whose number is another's now, or
+    /// nobody's any more, goes to those that are gone.
+    pub fn renew(&mut self, by: &[Origin]) {
+        let width = self.lanes + OTHERS;
+        let mut old = std::mem::take(&mut self.links).into_iter();
+        for _ in 0..=self.zones {
+            let mut of: Vec<Option<Box<Lane>>> = old.by_ref().take(width).collect();
+            let (gone, connections) = (of.pop().flatten(), of.pop().flatten());
+            self.links.extend(carried(by, &mut of));
+            let gone = of.into_iter().flatten().fold(gone, |gone, lane| match gone {
+                Some(mut all) => {
+                    all.merge(*lane);
+                    Some(all)
+                }
+                None => Some(lane),
+            });
+            self.links.extend([connections, gone]);
+        }
+        let mut taken: Vec<Option<u64>> = self.taken.iter().copied().map(Some).collect();
+        self.taken = carried(by, &mut taken).into_iter().map(Option::unwrap_or_default).collect();
+        self.taken_gone += taken.into_iter().flatten().sum::<u64>();
+        self.near = carried(by, &mut self.near);
+        self.lanes = by.len();
     }
 
     pub fn taken(&mut self, lane: usize) {
@@ -195,13 +262,12 @@
     }
 
     fn place(&self, to: usize, lane: usize) -> usize {
-        to.min(self.zones) * (self.lanes + 1) + lane.min(self.lanes)
+        to.min(self.zones) * (self.lanes + OTHERS) + lane.min(self.lanes + 1)
     }
 
     fn lane(&mut self, to: usize, lane: usize) -> &mut Lane {
         let place = self.place(to, lane);
-        let new = || Box::new(Lane { rows: Vec::new(), day: Series::new(DAY.0, DAY.1), delays: None });
-        self.links[place].get_or_insert_with(new)
+        self.links[place].get_or_insert_with(|| Box::new(Lane::new()))
     }
 
     /// A delivery was decided on.
@@ -292,7 +358,7 @@
 
     /// What is kept by link and lane, from a place on.
     fn from(&self, place: usize) -> impl Iterator<Item = (u16, u16, &Lane)> {
-        let width = self.lanes + 1;
+        let width = self.lanes + OTHERS;
         let there = self.links.iter().enumerate().skip(place);
         there.filter_map(move |(n, l)| Some(((n / width) as u16, (n % width) as u16, l.as_deref()?)))
     }
@@ -315,7 +381,7 @@
         if usize::from(to) > self.zones {
             return None;
         }
-        let place = usize::from(to) * (self.lanes + 1) + usize::from(lane);
+        let place = usize::from(to) * (self.lanes + OTHERS) + usize::from(lane);
         self.from(place).next().map(|(to, lane, l)| ((to, lane), &l.day))
     }
 
@@ -329,6 +395,11 @@
         &self.taken
     }
 
+    /// Commands taken of lanes that are gone.
+    pub fn taken_gone(&self) -> u64 {
+        self.taken_gone
+    }
+
     /// The usual time of a near answer of this lane, in seconds.
     pub fn usual_near(&self, lane: usize) -> Option<f64> {
         self.near.get(lane).copied().flatten()
--- a/crates/zones/src/budget.rs
+++ b/crates/zones/src/budget.rs
@@ -7,10 +7,12 @@
 //! Spending is counted in bins over a sliding window, always over one bin more than the window holds: no window
 //! ever sees more than the limit, and after a stall nothing is due at once that was not spent before.
 
+use crate::account::carried;
 use crate::route::Reason;
 use crate::zoning::{Budget, LaneView, Limit, Price, Zoning};
 use std::collections::VecDeque;
 use std::time::Duration;
+use tulipwall::Origin;
 
 /// Bins to a window.
 const BINS: u32 = 32;
@@ -226,13 +228,17 @@
             benefits: Vec::new(),
             largest: vec![vec![(GUESS, GUESS); lanes]; zoning.all()],
         };
-        purses.renew(now, zoning);
+        purses.renew(now, zoning, &vec![Origin::Same; lanes]);
         purses
     }
 
-    /// Goes on under what was read anew. A budget is the same if its name and its unit are; a lower one holds
-    /// at once, whatever was spent.
-    pub fn renew(&mut self, now: Duration, zoning: &Zoning) {
+    /// Goes on under what was read anew, with lanes numbered as `by` says. A budget is the same if its name and its
+    /// unit are; a lower one holds at once, whatever was spent.
+    pub fn renew(&mut self, now: Duration, zoning: &Zoning, by: &[Origin]) {
+        for zone in &mut self.largest {
+            let mut old: Vec<_> = std::mem::take(zone).into_iter().map(Some).collect();
+            *zone = carried(by, &mut old).into_iter().map(|l| l.unwrap_or((GUESS, GUESS))).collect();
+        }
         let mut old = std::mem::take(&mut self.purses);
         self.prices = (0..zoning.all()).map(|z| zoning.link(z).price).collect();
         self.benefits = zoning.lanes.iter().map(|l: &LaneView| l.benefit).collect();
--- a/crates/zones/src/report.rs
+++ b/crates/zones/src/report.rs
@@ -28,7 +28,8 @@
     }
 
     pub fn lane(&self, lane: usize) -> &str {
-        self.lanes.get(lane).map_or("(connections)", String::as_str)
+        let others = if lane > self.lanes.len() { "(gone)" } else { "(connections)" };
+        self.lanes.get(lane).map_or(others, String::as_str)
     }
 }
 
@@ -235,14 +236,20 @@
             total: p.total(),
             over: counted(Reason::ALL.into_iter().map(|r| (r.word(), p.over_for(r)))),
         };
-        let taken = self.account().taken_by_lane().iter().enumerate();
+        // A lane under other rules of repeats has two numbers for a while.
+        let mut taken = BTreeMap::new();
+        for (lane, n) in self.account().taken_by_lane().iter().enumerate() {
+            *taken.entry(names.lane(lane).to_owned()).or_default() += n;
+        }
+        let gone = Some(self.account().taken_gone()).filter(|n| *n > 0);
+        taken.extend(gone.map(|n| ("(gone)".to_owned(), n)));
         Head {
             version: VERSION,
             agent: names.agent.clone(),
             zone: names.zone(zoning.own).to_owned(),
             at_s: wall.unix.as_secs_f64(),
             since_s: wall.now.saturating_sub(wall.since).as_secs_f64(),
-            taken: taken.map(|(l, n)| (names.lane(l).to_owned(), *n)).collect(),
+            taken,
             budgets: self.purses().purses().iter().map(budget).collect(),
             draws: others().filter_map(|z| Some((names.zone(z).to_owned(), self.route().draw(z)?))).collect(),
             turns: others().map(|z| (names.zone(z).to_owned(), self.route().turns(z))).collect(),
--- a/crates/zones/src/route.rs
+++ b/crates/zones/src/route.rs
@@ -7,9 +7,10 @@
 //! again ([`EASED`]), less. Rising is never delayed. Falling waits for a calm span, which doubles each time the
 //! direction turns and halves while it does not: near that flaps cannot make commands swing with it.
 
+use crate::account::carried;
 use crate::zoning::{LaneView, Routing};
 use std::time::Duration;
-use tulipwall::Room;
+use tulipwall::{Origin, Room};
 
 /// A near answer is this much slower than a far one, its way included: near is full.
 const FULL: f64 = 1.25;
@@ -183,9 +184,21 @@
         }
     }
 
-    /// What was read anew; what was learned stays.
-    pub fn renew(&mut self, routing: Routing, stated: Vec<Option<Duration>>) {
+    /// What was read anew, with lanes numbered as `by` says; what was learned stays.
+    pub fn renew(
+        &mut self,
+        routing: Routing,
+        lanes: &[LaneView],
+        stated: Vec<Option<Duration>>,
+        by: &[Origin],
+    ) {
         (self.routing, self.stated) = (routing, stated);
+        self.quoted = lanes.iter().map(|l| l.quoted.as_secs_f64()).collect();
+        let mut paces: Vec<Option<Pace>> = std::mem::take(&mut self.lanes).into_iter().map(Some).collect();
+        self.lanes = carried(by, &mut paces).into_iter().map(Option::unwrap_or_default).collect();
+        for side in &mut self.sides {
+            side.times = carried(by, &mut side.times);
+        }
     }
 
     /// A delivery went to this zone.
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -7,7 +7,7 @@
 use crate::zoning::Zoning;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use tulipwall::{Crossing, Crossings, Outcome, Room};
+use tulipwall::{Crossing, Crossings, Origin, Outcome, Room};
 
 /// A delivery that was decided on.
 #[derive(Clone, Copy, Debug)]
@@ -65,19 +65,23 @@
         }
     }
 
-    /// Goes on under what was read anew: the account and what is spent stay. Its zones and lanes must be those
-    /// of before, which a restart alone may change; otherwise nothing changes and this says so.
-    pub fn renew(&mut self, now: Duration, zoning: Zoning) -> Result<(), &'static str> {
-        let same = |z: &Zoning| (z.own, z.zones, z.lanes.len());
-        if same(&zoning) != same(&self.zoning) {
-            return Err("zones and lanes stay those read at the start until a restart");
+    /// Goes on under what was read anew, with lanes numbered as `by` says: the account and what is spent stay. Its zones
+    /// must be those of before, or the account begins anew, and the budgets as after a restart; says whether it went on.
+    pub fn renew(&mut self, now: Duration, zoning: Zoning, by: &[Origin]) -> bool {
+        let same = |z: &Zoning| (z.own, z.zones);
+        if same(&zoning) != same(&self.zoning) || zoning.lanes.len() != by.len() {
+            *self = Zones::new(now, zoning);
+            return false;
+        }
+        if self.zoning.lanes.len() != by.len() || by.iter().any(|o| *o != Origin::Same) {
+            self.account.renew(by);
         }
         let stated = (0..zoning.all()).map(|z| zoning.link(z).delay).collect();
-        self.route.renew(zoning.routing, stated);
-        self.purses.renew(now, &zoning);
+        self.route.renew(zoning.routing, &zoning.lanes, stated, by);
+        self.purses.renew(now, &zoning, by);
         self.zoning = zoning;
         self.due = true;
-        Ok(())
+        true
     }
 
     /// A command was taken.
--- /dev/null
+++ b/crates/zones/tests/renewal.rs
@@ -0,0 +1,116 @@
+//! Lanes that come, go and change while an account of what crosses is kept.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tulipwall::{Origin, Outcome, Room};
+use tulipwall_zones::*;
+
+const NOW: Duration = Duration::from_secs(7200);
+
+fn zoning(lanes: usize, lane: Option<usize>) -> Zoning {
+    let limit = Limit::Deliveries(1000.0);
+    let window = Duration::from_secs(60);
+    let lanes = vec![LaneView { benefit: 3.0, quoted: Duration::from_millis(400) }; lanes];
+    let budgets = vec![Budget { name: "b".into(), to: None, lane, limit, window, part: 1.0 }];
+    Zoning { own: 0, zones: 2, lanes, links: vec![Link::default(); 3], budgets, routing: Routing::AsEver }
+}
+
+fn names(lanes: &[&str]) -> Names {
+    let of = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
+    Names { agent: "n".into(), zones: of(&["a", "b"]), lanes: of(lanes) }
+}
+
+fn send(zones: &mut Zones, lane: usize) -> Ticket {
+    zones.taken(NOW, lane);
+    let sending = Sending { to: 1, lane, build: 7, nth: 0, second_copy: false, trial: false, bound: false };
+    zones.sent(NOW, sending, || vec![Room::default(); 3])
+}
+
+fn end(zones: &mut Zones, ticket: &Ticket) {
+    let took = Duration::from_millis(20);
+    let ended =
+        Ended { outcome: Outcome::Satisfied, flaw: Flaw::None, written: true, out: 100, back: 200, took };
+    zones.ended(NOW, ticket, &ended);
+}
+
+/// Deliveries by lane, and commands taken by lane, as the report tells them.
+fn told(zones: &Zones, names: &Names) -> (BTreeMap<String, u64>, BTreeMap<String, u64>) {
+    let wall = Wall { now: NOW, unix: NOW, since: Duration::ZERO };
+    let (mut place, mut deliveries, mut taken) = (Place::Head, BTreeMap::new(), BTreeMap::new());
+    while !matches!(place, Place::Over) {
+        let (lines, next) = zones.lines(names, wall, place);
+        for line in lines {
+            match line {
+                Line::Head(head) => taken = head.taken,
+                Line::Link(l) => *deliveries.entry(l.lane).or_default() += l.deliveries,
+                _ => {}
+            }
+        }
+        place = next;
+    }
+    (deliveries, taken)
+}
+
+fn map(of: &[(&str, u64)]) -> BTreeMap<String, u64> {
+    of.iter().map(|(name, n)| ((*name).to_owned(), *n)).collect()
+}
+
+#[test]
+fn what_was_counted_follows_its_lane_and_what_went_is_summed_as_gone() {
+    let mut zones = Zones::new(Duration::ZERO, zoning(2, Some(1)));
+    for lane in [0, 0, 1, 1, 1] {
+        let ticket = send(&mut zones, lane);
+        end(&mut zones, &ticket);
+    }
+    let in_hand = send(&mut zones, 0);
+    let spent = zones.purses().purses()[0].used();
+    assert!(spent >= 3.0);
+    // Lane 0 goes on under number 2 while one of its commands is in hand; lane 3 is new.
+    let by = [Origin::Over, Origin::Same, Origin::Was(0), Origin::New];
+    assert!(zones.renew(NOW, zoning(4, Some(1)), &by));
+    end(&mut zones, &in_hand);
+    let last = send(&mut zones, 2);
+    end(&mut zones, &last);
+    let lanes = names(&["view", "send", "view", "new"]);
+    let (deliveries, taken) = told(&zones, &lanes);
+    assert_eq!(deliveries, map(&[("view", 4), ("send", 3)]));
+    assert_eq!(taken, map(&[("view", 4), ("send", 3), ("new", 0)]));
+    assert_eq!(zones.purses().purses()[0].used(), spent, "what is spent stays spent");
+    // Its earlier number is given to another, and lane 1 went.
+    let by = [Origin::New, Origin::Free, Origin::Same, Origin::Same];
+    assert!(zones.renew(NOW, zoning(4, None), &by));
+    let (deliveries, taken) = told(&zones, &names(&["other", "", "view", "new"]));
+    assert_eq!(deliveries, map(&[("view", 3), ("(gone)", 4)]));
+    assert_eq!(taken["(gone)"] + taken["view"], 7, "{taken:?}");
+    assert_eq!((taken["other"], taken["new"]), (0, 0));
+    // Fewer lanes, and connections still stand behind them.
+    assert!(zones.renew(NOW, zoning(1, None), &[Origin::Was(2)]));
+    zones.opened(NOW, &Opening { to: 1, build: 7, out: 5, back: 5, took: Some(Duration::from_millis(1)) });
+    let (deliveries, _) = told(&zones, &names(&["view"]));
+    assert_eq!(deliveries, map(&[("view", 3), ("(connections)", 0), ("(gone)", 4)]));
+}
+
+#[test]
+fn ten_thousand_renewals_keep_the_account_bounded_and_lose_no_count() {
+    let mut zones = Zones::new(Duration::ZERO, zoning(3, None));
+    for n in 0..10_000 {
+        let ticket = send(&mut zones, n % 3);
+        end(&mut zones, &ticket);
+        let mut by = [Origin::Same; 3];
+        by[n % 3] = Origin::New;
+        assert!(zones.renew(NOW, zoning(3, None), &by));
+    }
+    let (deliveries, taken) = told(&zones, &names(&["x", "y", "z"]));
+    assert_eq!((deliveries.values().sum::<u64>(), taken.values().sum::<u64>()), (10_000, 10_000));
+    assert!(zones.account().rows().count() <= 4);
+}
+
+#[test]
+fn other_zones_begin_another_account() {
+    let mut zones = Zones::new(Duration::ZERO, zoning(2, None));
+    let ticket = send(&mut zones, 0);
+    let more = Zoning { zones: 3, links: vec![Link::default(); 4], ..zoning(2, None) };
+    assert!(!zones.renew(NOW, more, &[Origin::Same; 2]));
+    // What was in hand is told to the one that is there.
+    end(&mut zones, &ticket);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,8 @@
 //! The decisions of one agent, asked by [`Choice::place`] (where to send this command, or not yet, or never),
 //! [`Choice::after`] (what to do after this outcome) and [`Choice::wait`] (how long to wait, what is due).
 
+mod renewal;
+
 use crate::state::*;
 use crate::types::*;
 use rand::{seq::SliceRandom, Rng, SeedableRng};
@@ -119,10 +121,8 @@
     pub fn take(&mut self, now: Duration, id: u64, c: Command) {
         self.load.spare = (self.load.spare + RETRY_EACH).min(RETRY_MOST);
         self.intake.taken += if c.again { 0.0 } else { 1.0 };
-        for b in self.builds.values_mut() {
-            let slot = self.at.slot(c.lane);
-            b.tokens[slot] = (b.tokens[slot] + b.cap).min(self.at.free);
-        }
+        let (slot, free) = (self.at.slot(c.lane), self.at.free);
+        self.builds.values_mut().for_each(|b| b.tokens[slot] = (b.tokens[slot] + b.cap).min(free));
         c.customer.and_then(|i| self.customer_load.get_mut(i)).into_iter().for_each(|l| *l += 1.0);
         let home = c.key.filter(|k| self.at.warm_keys && !self.recent.met(*k, POPULAR));
         self.commands.insert(id, Open { home, ..Open::new(now, &c) });
--- a/src/state.rs
+++ b/src/state.rs
@@ -365,7 +365,7 @@
     pub slow: bool,  // all answers, surely enough for one of several that must agree
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct LaneView {
     pub quoted: f64,
     pub benefit: f64,
@@ -384,7 +384,7 @@
     pub open: f64,        // and for what is still out
 }
 
-/// What was read at the start, in the form the decisions use.
+/// What was read, in the form the decisions use.
 #[derive(Default)]
 pub(crate) struct Bounds {
     pub zone: usize,
@@ -423,11 +423,14 @@
 }
 
 impl LaneView {
+    /// What `seen` begins with: how many answers the first guess is worth.
+    pub const UNSEEN: f64 = 5.0;
+
     pub fn new(l: &Lane, guess: f64) -> LaneView {
         let quoted = l.quoted.as_secs_f64();
         let (usual, benefit, repeats) = (quoted * guess, l.benefit, l.repeats);
         let view = LaneView { quoted, benefit, repeats, usual, least: usual, ..LaneView::default() };
-        LaneView { half: usual * 0.7, high: usual * 2.0, seen: 5.0, ..view }
+        LaneView { half: usual * 0.7, high: usual * 2.0, seen: LaneView::UNSEEN, ..view }
     }
 }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,6 +1,7 @@
 //! What goes into a [`Choice`](crate::Choice) and what comes back: plain data, no decisions.
 //! Times are spans since the start; appliances, lanes, customers and zones are small indices.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// What sending to the other zones means just now, told by the account of what crosses. Nothing told: as ever.
@@ -52,8 +53,8 @@
     pub in_flight: usize,
 }
 
-/// What an agent reads once, at its start.
-#[derive(Clone, Debug)]
+/// What an agent reads at its start, and anew at each renewal.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     pub seed: u64,
     pub agents: u32,
@@ -84,7 +85,7 @@
 }
 
 /// How builds are offered here.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Rollout {
     pub caps: Vec<f64>,
     pub free: f64,
@@ -102,7 +103,7 @@
     pub flagged_share: f64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Lane {
     pub quoted: Duration,
     pub benefit: f64,
@@ -127,11 +128,41 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Customer {
     pub share: f64,
 }
 
+/// Whose a number is under settings that were read anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Whose it was.
+    Same,
+    /// A name that goes on under other rules; under this number commands in hand end by the earlier ones.
+    Was(usize),
+    /// A name that was not there before.
+    New,
+    /// Nobody's but that of commands in hand.
+    Over,
+    /// Nobody's.
+    Free,
+}
+
+/// Whose the numbers of lanes and customers are, by number.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Numbering {
+    pub lanes: Vec<Origin>,
+    pub customers: Vec<Origin>,
+}
+
+/// The numbers that commands in hand count in; `zones` are those of their deliveries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InHand {
+    pub lanes: BTreeSet<usize>,
+    pub customers: BTreeSet<usize>,
+    pub zones: BTreeSet<usize>,
+}
+
 /// A command as it arrives; `key` is a number that equal keys share, at every agent.
 #[derive(Clone, Debug)]
 pub struct Command {
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -79,6 +79,17 @@
         Watch { other: d, own_caps: shape.caps.is_none(), tokens, counts }
     }
 
+    /// Goes on beside settings that were read anew; what was counted stays.
+    pub fn renew(&mut self, present: &Deployment, shape: &Shape) {
+        let was = std::mem::replace(self, Watch::new(present, shape));
+        self.counts = was.counts;
+        if was.other.rollout.by_lane == self.other.rollout.by_lane {
+            let slots = if self.other.rollout.by_lane { self.other.lanes.len() } else { 1 };
+            self.tokens = was.tokens;
+            self.tokens.values_mut().for_each(|t| t.resize(slots, 0.0));
+        }
+    }
+
     /// The cap that the watched settings give this build, as the news stand.
     fn cap(&self, news: Option<&News>, build: u32) -> f64 {
         let first = self.other.rollout.caps.first().copied().unwrap_or(0.0);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -152,6 +152,20 @@
         self.told = Some(n);
     }
 
+    /// Goes on under other settings; the rules are checked by these. What nobody could know before is checked from now
+    /// on: exposure by lane where it was counted for all, a lower cap, and keys that bind one way.
+    pub fn renew(&mut self, d: Deployment, by: &Numbering) {
+        let (was, now) = (&self.d.rollout, &d.rollout);
+        if now.by_lane && !was.by_lane || now.caps[0] < was.caps[0] {
+            self.counted_from = self.exposed.len();
+        }
+        if now.one_way && !was.one_way {
+            self.bound.clear();
+        }
+        self.choice.renew(self.now, &d, by);
+        self.d = d;
+    }
+
     pub fn on_trial(&self, build: u32) -> bool {
         match &self.told {
             Some(n) => build > n.build || build == n.build && n.phase != Phase::Released,
