The lab measures real agents on loopback: memory, processor time, bytes, latency

`tulipwall-lab fleet` starts agents as processes before stand-ins, varies one size at a time and prints points and the line of least squares, as a table or JSON.

--- /dev/null
+++ b/crates/lab/src/fleet/measure.rs
@@ -0,0 +1,458 @@
+//! The measures, one after another. Each starts its own installation and ends it.
+
+use super::estimate::LOAD_CLIENTS;
+use super::meter::Meter;
+use super::process::{usage, Machine, Usage};
+use super::stand::{lanes, tenant, until, Member, Stand};
+use super::{Measure, Plan, Results, Row, Size};
+use std::io;
+use std::net::SocketAddr;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use tulipwall_standins::{Act, Answered, Caller, Load, Ways};
+
+const MB: f64 = 1e6;
+/// How long clients wait in loads.
+const WAIT: Duration = Duration::from_millis(1500);
+/// Lanes that a load goes by, at most.
+const LOAD_LANES: usize = 8;
+
+fn ms(span: Duration) -> f64 {
+    span.as_secs_f64() * 1000.0
+}
+
+fn mean(of: impl Iterator<Item = f64>) -> f64 {
+    let (sum, n) = of.fold((0.0, 0.0), |(s, n), x| (s + x, n + 1.0));
+    sum / f64::max(n, 1.0)
+}
+
+fn most(of: impl Iterator<Item = f64>) -> f64 {
+    of.fold(0.0, f64::max)
+}
+
+fn median(of: &[f64]) -> f64 {
+    let mut sorted = of.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let n = sorted.len();
+    match n {
+        0 => 0.0,
+        _ => (sorted[(n - 1) / 2] + sorted[n / 2]) / 2.0,
+    }
+}
+
+/// Runs all that the plan names. `say` hears what is under way.
+pub fn run(plan: &Plan, mut say: impl FnMut(&str)) -> io::Result<Results> {
+    let mut results = Results { limits: plan.limits.clone(), ..Results::default() };
+    for m in &plan.measures {
+        say(&format!("{m:?}"));
+        match m {
+            Measure::Appliances | Measure::Lanes | Measure::Tenants | Measure::Pairs => {
+                results.add(memory(plan, *m)?, &["resident_mb", "peak_mb"]);
+            }
+            Measure::Connections => results.add(connections(plan)?, &["resident_mb"]),
+            Measure::Open => results.add(open(plan)?, &["resident_mb"]),
+            Measure::Idle => {
+                for (by, sizes) in apart(plan, *m) {
+                    let rows = sizes.iter().map(|s| idle(plan, s, by)).collect::<io::Result<_>>()?;
+                    results.add(rows, &["control_core_%"]);
+                }
+            }
+            Measure::Start => {
+                results.add(start(plan, true)?, &["ready_ms", "ran_ms"]);
+                results.add(start(plan, false)?, &["ready_ms", "ran_ms", "list_bytes", "taken_in_ms"]);
+            }
+            Measure::Change => results.add(change(plan)?, &["bytes", "taken_in_ms", "ran_ms"]),
+            Measure::Renew => {
+                for (by, sizes) in apart(plan, *m) {
+                    let rows = sizes.iter().map(|s| renew(plan, s, by)).collect::<io::Result<_>>()?;
+                    results.add(rows, &["in_force_ms", "ran_ms", "bytes"]);
+                }
+            }
+            Measure::Restart => {
+                for (by, sizes) in apart(plan, *m) {
+                    let rows = sizes.iter().map(|s| restart(plan, s, by)).collect::<io::Result<_>>()?;
+                    results.add(rows, &["in_force_ms", "ran_ms", "bytes"]);
+                }
+            }
+            Measure::Commands => {
+                for rate in &plan.rates {
+                    for (by, sizes) in apart(plan, *m) {
+                        let rows =
+                            sizes.iter().map(|s| commands(plan, s, by, *rate)).collect::<io::Result<_>>()?;
+                        results.add(rows, &["us_a_command"]);
+                    }
+                }
+            }
+            Measure::Added => {
+                for rate in &plan.rates {
+                    results.add(added(plan, *rate, &mut say)?, &["added_p99_ms"]);
+                }
+            }
+        }
+    }
+    Ok(results)
+}
+
+/// The installations of a measure that goes by appliances and then by tenants.
+fn apart(plan: &Plan, m: Measure) -> [(&'static str, Vec<Size>); 2] {
+    let mut sizes: Vec<Size> = plan.sizes(m).into_iter().map(|(s, _)| s).collect();
+    let tenants = sizes.split_off(plan.appliances.len());
+    [("appliances", sizes), ("tenants", tenants)]
+}
+
+fn usages(members: &[Member]) -> io::Result<Vec<Usage>> {
+    members.iter().map(Member::usage).collect()
+}
+
+/// Resident and peak memory: the mean over all agents, and the largest.
+fn memory_of(members: &[Member]) -> io::Result<Vec<(&'static str, f64)>> {
+    let all = usages(members)?;
+    let of = |bytes: u64| bytes as f64 / MB;
+    Ok(vec![
+        ("resident_mb", mean(all.iter().map(|u| of(u.resident)))),
+        ("resident_most_mb", most(all.iter().map(|u| of(u.resident)))),
+        ("peak_mb", mean(all.iter().map(|u| of(u.peak)))),
+        ("peak_most_mb", most(all.iter().map(|u| of(u.peak)))),
+    ])
+}
+
+fn memory(plan: &Plan, m: Measure) -> io::Result<Vec<Row>> {
+    let (by, of): (_, fn(&Size) -> usize) = match m {
+        Measure::Lanes => ("lanes", |s| s.lanes),
+        Measure::Tenants => ("tenants", |s| s.tenants),
+        Measure::Pairs => ("appliance-lane pairs", |s| s.appliances * s.lanes),
+        _ => ("appliances", |s| s.appliances),
+    };
+    let row = |(size, _): (Size, usize)| {
+        let stand = Stand::start(&size, Ways::default())?;
+        let members = stand.agents(&plan.binary)?;
+        sleep(plan.settle);
+        let mut figures = vec![("agents", members.len() as f64)];
+        figures.extend(memory_of(&members)?);
+        Ok(Row { measure: "memory", by, size: of(&size) as f64, figures })
+    };
+    plan.sizes(m).into_iter().map(row).collect()
+}
+
+fn connections(plan: &Plan) -> io::Result<Vec<Row>> {
+    let row = |(size, count): (Size, usize)| {
+        let stand = Stand::start(&size, Ways::default())?;
+        let member = stand.agent(&plan.binary, 0, true)?;
+        let address = member.address()?;
+        let clients = (0..count).map(|_| Caller::connect(address)).collect::<io::Result<Vec<_>>>()?;
+        sleep(plan.settle);
+        let figures = memory_of(std::slice::from_ref(&member))?;
+        drop(clients);
+        Ok(Row { measure: "memory", by: "connections", size: count as f64, figures })
+    };
+    plan.sizes(Measure::Connections).into_iter().map(row).collect()
+}
+
+/// Commands that no appliance answers, each on a connection of its own: how many were out, and what the agent held
+/// meanwhile, with the connections of their clients and to appliances.
+fn open(plan: &Plan) -> io::Result<Vec<Row>> {
+    let row = |(size, count): (Size, usize)| {
+        let stand = Stand::start(&size, Ways { act: Act::Silent, ..Ways::default() })?;
+        let member = stand.agent(&plan.binary, 0, true)?;
+        let address = member.address()?;
+        let mut clients = (0..count).map(|_| Caller::connect(address)).collect::<io::Result<Vec<_>>>()?;
+        clients.iter_mut().for_each(|c| c.ask("route-0", 30_000));
+        sleep(plan.settle);
+        let mut ids: Vec<String> =
+            stand.appliances.iter().flat_map(|a| a.seen()).map(|seen| seen.id).collect();
+        ids.sort();
+        ids.dedup();
+        let mut figures = vec![("open", ids.len() as f64), ("deliveries", stand.deliveries() as f64)];
+        figures.extend(memory_of(std::slice::from_ref(&member))?);
+        drop(clients);
+        Ok(Row { measure: "memory", by: "open commands", size: count as f64, figures })
+    };
+    plan.sizes(Measure::Open).into_iter().map(row).collect()
+}
+
+/// What agents take when nobody asks them anything.
+fn idle(plan: &Plan, size: &Size, by: &'static str) -> io::Result<Row> {
+    let stand = Stand::start(size, Ways::default())?;
+    let members = stand.agents(&plan.binary)?;
+    sleep(plan.settle);
+    let (before, bytes) = (usages(&members)?, members.iter().map(Member::control).collect::<Vec<_>>());
+    let begun = Instant::now();
+    sleep(plan.span);
+    let (after, took) = (usages(&members)?, begun.elapsed().as_secs_f64());
+    let share = |(a, b): (&Usage, &Usage)| a.ran.saturating_sub(b.ran).as_secs_f64() / took * 100.0;
+    let shares: Vec<f64> = after.iter().zip(&before).map(share).collect();
+    let passed =
+        |n: usize| mean(members.iter().zip(&bytes).map(|(m, b)| (m.control()[n] - b[n]) as f64 / took));
+    let (discovery, platform) = (passed(0), passed(1));
+    let waited = after.iter().zip(&before).map(|(a, b)| ms(a.waited.saturating_sub(b.waited)) / took);
+    let figures = vec![
+        ("agents", members.len() as f64),
+        ("control_core_%", mean(shares.iter().copied())),
+        ("most_core_%", most(shares.iter().copied())),
+        ("discovery_bytes_s", discovery),
+        ("platform_bytes_s", platform),
+        ("control_bytes_s", discovery + platform),
+        ("waited_ms_s", mean(waited)),
+    ];
+    let measure = if size.pushed { "idle, lists pushed" } else { "idle, lists asked for" };
+    Ok(Row { measure, by, size: size_by(size, by), figures })
+}
+
+/// A start up to the answer to a first empty query. Without a list in its configuration the agent asks for the whole
+/// one; how long that took to be taken in, from its last byte to the next question.
+fn start(plan: &Plan, known: bool) -> io::Result<Vec<Row>> {
+    let row = |(size, _): (Size, usize)| {
+        let stand = Stand::start(&size, Ways::default())?;
+        let one = |_| {
+            let member = stand.agent(&plan.binary, 0, known)?;
+            let ran = member.usage()?.ran;
+            let (mut bytes, mut taken_in) = (0.0, 0.0);
+            if !known {
+                let taken = until("the question behind the list", || {
+                    member.discovery.taken_in(Instant::now() - Duration::from_secs(3600))
+                })?;
+                (bytes, taken_in) = (taken.bytes as f64, ms(taken.next - taken.whole));
+            }
+            Ok([ms(member.ready), ms(ran), bytes, taken_in])
+        };
+        let all = (0..plan.repeats).map(one).collect::<io::Result<Vec<_>>>()?;
+        let of = |n: usize| all.iter().map(|a| a[n]).collect::<Vec<f64>>();
+        let mut figures = vec![
+            ("ready_ms", median(&of(0))),
+            ("ready_most_ms", most(of(0).into_iter())),
+            ("ran_ms", median(&of(1))),
+        ];
+        if !known {
+            figures.extend([("list_bytes", median(&of(2))), ("taken_in_ms", median(&of(3)))]);
+        }
+        let measure = if known { "start with a list" } else { "start without a list" };
+        Ok(Row { measure, by: "appliances", size: size.appliances as f64, figures })
+    };
+    plan.sizes(Measure::Start).into_iter().map(row).collect()
+}
+
+/// So many entries change at once, in their cell.
+fn change(plan: &Plan) -> io::Result<Vec<Row>> {
+    let Some((size, _)) = plan.sizes(Measure::Change).pop() else { return Ok(Vec::new()) };
+    let stand = Stand::start(&size, Ways::default())?;
+    let member = stand.agent(&plan.binary, 0, true)?;
+    sleep(plan.settle);
+    let mut rows = Vec::new();
+    let counts = plan.changed.iter().copied().chain([size.appliances]).filter(|n| *n <= size.appliances);
+    let mut counts: Vec<usize> = counts.collect();
+    counts.sort_unstable();
+    counts.dedup();
+    for count in counts {
+        let mut all = Vec::new();
+        for _ in 0..plan.repeats {
+            let mut entries = stand.discovery.entries();
+            entries.truncate(count);
+            entries.iter_mut().for_each(|e| e.cell += 1);
+            let (begun, before) = (Instant::now(), member.usage()?.ran);
+            stand.discovery.tell(entries);
+            let taken = until("the question behind a change", || member.discovery.taken_in(begun))?;
+            // Behind the question some more may be under way.
+            sleep(Duration::from_millis(20));
+            let ran = member.usage()?.ran.saturating_sub(before);
+            all.push([taken.bytes as f64, ms(taken.next - taken.whole), ms(ran)]);
+        }
+        let of = |n: usize| median(&all.iter().map(|a| a[n]).collect::<Vec<_>>());
+        let figures = vec![("bytes", of(0)), ("taken_in_ms", of(1)), ("ran_ms", of(2))];
+        rows.push(Row { measure: "a change of the list", by: "entries", size: count as f64, figures });
+    }
+    Ok(rows)
+}
+
+/// SIGHUP with other addresses of discovery and the platform: until both were heard there, and until the list has been
+/// taken in. Processor time and bytes up to half a second later, less those of an idle time as long.
+fn renew(plan: &Plan, size: &Size, by: &'static str) -> io::Result<Row> {
+    let stand = Stand::start(size, Ways::default())?;
+    let mut member = stand.agent(&plan.binary, 0, true)?;
+    sleep(plan.settle);
+    let rest = Duration::from_millis(500);
+    let mut all = Vec::new();
+    for _ in 0..plan.repeats {
+        let (idle_began, idle_before) = (Instant::now(), member.usage()?.ran);
+        sleep(rest);
+        let idle_ran = member.usage()?.ran.saturating_sub(idle_before).as_secs_f64();
+        let idle_share = idle_ran / idle_began.elapsed().as_secs_f64();
+        let before = member.usage()?.ran;
+        let (told, old) = member.renew(&stand, |_| {})?;
+        let taken = until("the question behind the new list", || member.discovery.taken_in(told))?;
+        let news = until("word of the platform", || member.platform.first_told())?;
+        sleep(rest);
+        let bytes: u64 = member.control().iter().sum();
+        let ran = member.usage()?.ran.saturating_sub(before).as_secs_f64();
+        let ran = (ran - idle_share * told.elapsed().as_secs_f64()).max(0.0);
+        drop::<[Meter; 2]>(old);
+        let heard = taken.whole.max(news) - told;
+        let force = taken.next.max(news) - told;
+        all.push([ms(heard), ms(force), ran * 1000.0, bytes as f64]);
+    }
+    let of = |n: usize| all.iter().map(|a| a[n]).collect::<Vec<f64>>();
+    let daily = |n: usize| median(&of(n)) * 1000.0 / 86_400.0;
+    let figures = vec![
+        ("heard_ms", median(&of(0))),
+        ("in_force_ms", median(&of(1))),
+        ("in_force_most_ms", most(of(1).into_iter())),
+        ("ran_ms", median(&of(2))),
+        ("bytes", median(&of(3))),
+        ("bytes_s_at_1000_a_day", daily(3)),
+        ("core_%_at_1000_a_day", daily(2) / 10.0),
+    ];
+    Ok(Row { measure: "a new configuration (SIGHUP)", by, size: size_by(size, by), figures })
+}
+
+/// Other settings. SIGHUP does not take them over; ended and started anew, with a client that has an idle connection.
+fn restart(plan: &Plan, size: &Size, by: &'static str) -> io::Result<Row> {
+    let stand = Stand::start(size, Ways::default())?;
+    let mut member = stand.agent(&plan.binary, 0, true)?;
+    let longer = |by: f64| move |s: &mut serde_json::Value| s["classes"][0]["aim-ms"] = (500.0 + by).into();
+    let (_, old) = member.renew(&stand, longer(0.0))?;
+    let refused = "those read at the start stay until a restart";
+    let stays = until("a word on the settings", || {
+        let log = member.program.log();
+        log.contains("a new configuration").then(|| log.contains(refused))
+    });
+    sleep(Duration::from_millis(50));
+    let stays = stays? || member.program.log().contains(refused);
+    drop(old);
+    let mut all = Vec::new();
+    for n in 0..plan.repeats {
+        let client = Caller::connect(member.address()?)?;
+        sleep(plan.settle.min(Duration::from_millis(500)));
+        let before: u64 = member.control().iter().sum();
+        let [ended, served] = member.restart(&plan.binary, longer(1.0 + n as f64))?;
+        let ran = member.usage()?.ran;
+        sleep(Duration::from_millis(500));
+        let bytes = member.control().iter().sum::<u64>() - before;
+        drop(client);
+        all.push([ms(ended), ms(member.ready), ms(served), ms(ran), bytes as f64]);
+    }
+    let of = |n: usize| all.iter().map(|a| a[n]).collect::<Vec<f64>>();
+    let figures = vec![
+        ("SIGHUP_enough", f64::from(u8::from(!stays))),
+        ("ended_ms", median(&of(0))),
+        ("ready_ms", median(&of(1))),
+        ("in_force_ms", median(&of(2))),
+        ("in_force_most_ms", most(of(2).into_iter())),
+        ("ran_ms", median(&of(3))),
+        ("bytes", median(&of(4))),
+    ];
+    Ok(Row { measure: "new settings (restart)", by, size: size_by(size, by), figures })
+}
+
+fn size_by(size: &Size, by: &str) -> f64 {
+    (if by == "tenants" { size.tenants } else { size.appliances }) as f64
+}
+
+/// How appliances of loads behave: quick enough for any of them, each command other than the last.
+fn ways(plan: &Plan) -> Ways {
+    Ways { work: plan.work, steady: 0.5, cores: 10_000, ..Ways::default() }
+}
+
+/// A load over lanes and tenants from all parts of the settings; it waits for its end.
+pub fn load(size: &Size, at: SocketAddr, rate: f64, span: Duration, seed: u64) -> Answered {
+    let all = lanes(size.lanes);
+    let used = all.len().min(LOAD_LANES);
+    let lane = |n: usize| {
+        let lane = &all[n * all.len() / used];
+        let t = tenant((n * size.tenants + size.tenants / 2) / used);
+        // A load writes the lane's name into the comment, so that a further field can follow it.
+        (format!("{},t={t}", lane.name), 1.0, WAIT, lane.repeats == "by_key")
+    };
+    let lanes = (0..used).map(lane).collect();
+    Load { agent: at, rate, span, lanes, connections: LOAD_CLIENTS, seed }.play()
+}
+
+/// Processor time of a command, above that of an idle agent.
+fn commands(plan: &Plan, size: &Size, by: &'static str, rate: f64) -> io::Result<Row> {
+    let stand = Stand::start(size, ways(plan))?;
+    let member = stand.agent(&plan.binary, 0, true)?;
+    let address = member.address()?;
+    sleep(plan.settle);
+    let (begun, before) = (Instant::now(), member.usage()?.ran);
+    sleep(plan.span);
+    let idle = member.usage()?.ran.saturating_sub(before).as_secs_f64() / begun.elapsed().as_secs_f64();
+    load(size, address, rate, plan.settle, 7);
+    let (begun, before) = (Instant::now(), member.usage()?);
+    let answered = load(size, address, rate, plan.span, 8);
+    let (after, took) = (member.usage()?, begun.elapsed().as_secs_f64());
+    let ran = after.ran.saturating_sub(before.ran).as_secs_f64();
+    let count = answered.asked.max(1) as f64;
+    let figures = vec![
+        ("rate", rate),
+        ("asked", answered.asked as f64),
+        ("satisfied", answered.satisfied as f64),
+        ("idle_core_%", idle * 100.0),
+        ("core_%", ran / took * 100.0),
+        ("us_a_command", (ran - idle * took).max(0.0) / count * 1e6),
+        ("waited_us_a_command", after.waited.saturating_sub(before.waited).as_secs_f64() / count * 1e6),
+    ];
+    Ok(Row { measure: named("commands", rate), by, size: size_by(size, by), figures })
+}
+
+/// The name of a measure at a rate, which stays for as long as the program: there are a few.
+fn named(what: &str, rate: f64) -> &'static str {
+    Box::leak(format!("{what} at {rate} a second").into_boxed_str())
+}
+
+/// The same load through an agent and straight at a stand-in, in turns, times from when a request was due.
+fn added(plan: &Plan, rate: f64, say: &mut impl FnMut(&str)) -> io::Result<Vec<Row>> {
+    let mut rows = Vec::new();
+    for (size, _) in plan.sizes(Measure::Added) {
+        say(&format!("Added: {} appliances, {rate} a second", size.appliances));
+        let stand = Stand::start(&size, ways(plan))?;
+        let member = stand.agent(&plan.binary, 0, true)?;
+        let (agent, straight) = (member.address()?, stand.appliances[0].address(0));
+        load(&size, agent, rate, plan.settle, 7);
+        load(&size, straight, rate, plan.settle, 7);
+        let mut all = Vec::new();
+        let (mut asked, mut satisfied) = (0, 0);
+        for n in 0..plan.repeats as u64 {
+            let (before, own) = (member.usage()?.waited, usage(std::process::id())?.waited);
+            let through = load(&size, agent, rate, plan.span, 100 + n);
+            let waited = member.usage()?.waited.saturating_sub(before);
+            let own = usage(std::process::id())?.waited.saturating_sub(own);
+            let direct = load(&size, straight, rate, plan.span, 100 + n);
+            (asked, satisfied) = (asked + through.asked, satisfied + through.satisfied);
+            let count = through.asked.max(1) as f64;
+            all.push([
+                through.quantile_ms(0.5),
+                through.quantile_ms(0.99),
+                direct.quantile_ms(0.5),
+                direct.quantile_ms(0.99),
+                waited.as_secs_f64() / count * 1e6,
+                own.as_secs_f64() / count * 1e6,
+                through.issued_late_ms(0.99).max(direct.issued_late_ms(0.99)),
+            ]);
+        }
+        let of = |f: &dyn Fn(&[f64; 7]) -> f64| all.iter().map(f).collect::<Vec<f64>>();
+        let (p50, p99) = (of(&|a| a[0] - a[2]), of(&|a| a[1] - a[3]));
+        let least = p99.iter().copied().fold(f64::INFINITY, f64::min);
+        let load = Machine::now()?.load;
+        let figures = vec![
+            ("rate", rate),
+            ("repeats", plan.repeats as f64),
+            ("asked", asked as f64),
+            ("satisfied", satisfied as f64),
+            ("straight_p99_ms", median(&of(&|a| a[3]))),
+            ("through_p99_ms", median(&of(&|a| a[1]))),
+            ("added_p50_ms", median(&p50)),
+            ("added_p99_ms", median(&p99)),
+            ("added_p99_least_ms", least),
+            ("added_p99_most_ms", p99.iter().copied().fold(f64::NEG_INFINITY, f64::max)),
+            ("agent_waited_us", median(&of(&|a| a[4]))),
+            ("own_waited_us", median(&of(&|a| a[5]))),
+            ("issued_late_p99_ms", most(of(&|a| a[6]).into_iter())),
+            ("machine_load", load),
+        ];
+        rows.push(Row {
+            measure: named("added to a request", rate),
+            by: "appliances",
+            size: size.appliances as f64,
+            figures,
+        });
+    }
+    Ok(rows)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! the rules checked from outside. Here a scenario in KDL says what world it is, what varies and over how many
 //! seeds; runs are spread over cores, kept as records, compared and drawn.
 
+pub mod fleet;
 pub mod load;
 pub mod records;
 pub mod report;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::time::Duration;
+use tulipwall_lab::fleet::command as fleet;
 use tulipwall_lab::load::Plan;
 use tulipwall_lab::records::{self, Head, Records};
 use tulipwall_lab::scenario::Scenario;
@@ -15,7 +16,7 @@
 
 const EXITS: &str = "\
 Exit codes: 0 done; 1 a scenario or a file of records is wrong, or an agent could not be reached; 2 the command line is
-wrong; 3 a rule was broken in some run.";
+wrong; 3 a rule was broken in some run; 4 a figure of `fleet` lies beyond a limit of the operators.";
 
 /// Experiments on a model of the whole installation, and load on real agents.
 #[derive(Parser)]
@@ -68,6 +69,9 @@
     },
     /// Drive a real agent over its protocol, open loop.
     Load(Drive),
+    /// What real agents on loopback take and add: memory, processor time, bytes, latency.
+    #[command(after_help = EXITS)]
+    Fleet(Box<fleet::Options>),
 }
 
 #[derive(Args)]
@@ -123,6 +127,7 @@
             explain(&scenario, point, seed, (agent, command))
         }
         Command::Load(drive) => drive.run(),
+        Command::Fleet(options) => return fleet::main(*options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/lab/tests/fleet.rs
@@ -0,0 +1,297 @@
+//! Real agents before stand-ins: the figures that are the same each time, which are counts, bytes, and that each figure
+//! and line is there. No times: those are for the large form, on a quiet machine.
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime};
+use tulipwall_lab::fleet::estimate::{self, Estimate};
+use tulipwall_lab::fleet::line::Line;
+use tulipwall_lab::fleet::process::{ticks, usage, Machine};
+use tulipwall_lab::fleet::stand::{until, Stand};
+use tulipwall_lab::fleet::{limits, measure, Results, Row, Size};
+use tulipwall_standins::{Caller, Ways};
+
+const LAB: &str = env!("CARGO_BIN_EXE_tulipwall-lab");
+
+/// The newest file below.
+fn newest(folder: &Path) -> SystemTime {
+    let entries = std::fs::read_dir(folder).unwrap().map(|e| e.unwrap());
+    let each = entries.map(|e| match e.file_type().unwrap().is_dir() {
+        true => newest(&e.path()),
+        false => e.metadata().unwrap().modified().unwrap(),
+    });
+    each.max().unwrap_or(SystemTime::UNIX_EPOCH)
+}
+
+/// The agent's program of this build. Cargo builds it with all tests, but not with those of this package alone: where
+/// it is missing, or older than what it is made of, it is built here.
+fn agent() -> &'static Path {
+    static AGENT: OnceLock<PathBuf> = OnceLock::new();
+    AGENT.get_or_init(|| {
+        let path = Path::new(LAB).with_file_name("tulipwall-agent");
+        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+        let parts = ["src", "crates/agent/src", "crates/calls/src", "crates/deployment/src"];
+        let more = ["crates/membership/src", "crates/standins/src", "crates/zones/src"];
+        let made_of = parts.iter().chain(&more).map(|p| newest(&root.join(p))).max().unwrap();
+        let built = path.metadata().and_then(|m| m.modified());
+        if built.is_ok_and(|at| at >= made_of) {
+            return path;
+        }
+        let profile = path.parent().unwrap();
+        let name = profile.file_name().unwrap().to_str().unwrap();
+        let out = Command::new(env!("CARGO"))
+            .current_dir(&root)
+            .args(["build", "--locked", "-p", "tulipwall-agent", "--bin", "tulipwall-agent"])
+            .args(["--profile", if name == "debug" { "dev" } else { name }, "--target-dir"])
+            .arg(profile.parent().unwrap())
+            .output()
+            .unwrap();
+        assert!(out.status.success(), "no agent to start: {}", String::from_utf8_lossy(&out.stderr));
+        assert!(path.is_file(), "the build left no {}", path.display());
+        path
+    })
+}
+
+fn size() -> Size {
+    Size { agents: 1, appliances: 40, lanes: 11, tenants: 20, zones: 3, sockets: 64, pushed: true }
+}
+
+fn lab(arguments: &[&str]) -> Output {
+    Command::new(LAB).arg("fleet").args(arguments).output().unwrap()
+}
+
+/// A short run of these measures, as JSON; one agent unless told otherwise.
+fn measured(arguments: &[&str]) -> (Option<i32>, Value) {
+    let agent = ["--agent", agent().to_str().unwrap(), "--seconds", "1", "--settle", "200", "--json"];
+    let out = lab(&[&agent, arguments].concat());
+    let told = serde_json::from_slice(&out.stdout);
+    (out.status.code(), told.unwrap_or_else(|_| panic!("{}", String::from_utf8_lossy(&out.stderr))))
+}
+
+fn rows<'a>(told: &'a Value, measure: &str, by: &str) -> Vec<&'a Value> {
+    let all = told["rows"].as_array().unwrap();
+    all.iter().filter(|r| r["measure"] == measure && r["by"] == by).collect()
+}
+
+fn figures(told: &Value, measure: &str, by: &str, figure: &str) -> Vec<f64> {
+    rows(told, measure, by)
+        .iter()
+        .map(|r| r["figures"][figure].as_f64().unwrap_or_else(|| panic!("{measure} lacks {figure}")))
+        .collect()
+}
+
+fn fit(told: &Value, measure: &str, by: &str, figure: &str, value: &str) -> f64 {
+    let all = told["fits"].as_array().unwrap();
+    let found = all.iter().find(|f| f["measure"] == measure && f["by"] == by && f["figure"] == figure);
+    found.unwrap_or_else(|| panic!("no line for {figure} in {measure}"))[value].as_f64().unwrap()
+}
+
+#[test]
+fn a_line_is_that_of_least_squares() {
+    let exact = Line::through(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)]).unwrap();
+    assert!((exact.slope - 2.0).abs() < 1e-12 && (exact.intercept - 3.0).abs() < 1e-12);
+    assert!(exact.residual_most < 1e-12 && exact.r2 > 1.0 - 1e-12);
+    // By hand: means 2 and 3, slope 2.5 / 2; the points lie 0.25, -0.5 and 0.25 off.
+    let off = Line::through(&[(1.0, 2.0), (2.0, 2.5), (3.0, 4.5)]).unwrap();
+    assert!((off.slope - 1.25).abs() < 1e-12 && (off.intercept - 0.5).abs() < 1e-12);
+    assert!((off.residual_most - 0.5).abs() < 1e-12);
+    assert!((off.residual - (0.375f64 / 3.0).sqrt()).abs() < 1e-12);
+    assert_eq!(Line::through(&[(3.0, 1.0), (3.0, 2.0)]), None);
+    assert_eq!(Line::through(&[]), None);
+}
+
+#[test]
+fn a_process_is_read_as_the_kernel_tells_it() {
+    let stat = "77 (a) b (c)) R 1 2 3 4 5 6 7 8 9 10 250 50 0 0 20 0 1 0 99";
+    assert_eq!(ticks(stat), Some(Duration::from_secs(3)));
+    assert_eq!(ticks("nothing"), None);
+    let (before, begun) = (usage(std::process::id()).unwrap(), Instant::now());
+    let mut kept = vec![1u8; 8 << 20];
+    while usage(std::process::id()).unwrap().ran < before.ran + Duration::from_millis(20) {
+        kept.iter_mut().for_each(|b| *b = b.wrapping_add(1));
+        assert!(begun.elapsed() < Duration::from_secs(60), "it never ran");
+    }
+    let after = usage(std::process::id()).unwrap();
+    assert!(after.peak >= after.resident && after.resident > 8 << 20 && kept.len() == 8 << 20);
+    // The same clock in ticks; each of two counts may lack one, and time goes on between the two readings.
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap();
+    assert!(ticks(&stat).unwrap() + Duration::from_millis(20) >= after.ran);
+    assert!(usage(u32::MAX).is_err());
+}
+
+/// What the meter counts is what discovery wrote: its head and the list, to the byte; then what the agent asked.
+#[test]
+fn a_whole_list_is_counted_to_the_byte() {
+    let stand = Stand::start(&size(), Ways::default()).unwrap();
+    let member = stand.agent(agent(), 0, false).unwrap();
+    let taken =
+        until("the next question", || member.discovery.taken_in(Instant::now() - Duration::from_secs(600)));
+    let body = stand.discovery.known(0).to_string();
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: \r\n\r\n".len();
+    assert_eq!(taken.unwrap().bytes as usize, head + body.len().to_string().len() + body.len());
+    assert!(member.discovery.passed().asked > 0 && member.platform.passed().connections == 1);
+    let id = member.program.id();
+    drop(member);
+    assert!(usage(id).is_err(), "it outlives its owner");
+}
+
+/// A change is one answer on the watch that stands: a part that is always the same, and each entry as long as the next.
+#[test]
+fn a_change_is_as_long_as_its_entries() {
+    let arguments = ["--measure", "change", "--appliances", "200", "--changed", "1", "10", "100"];
+    let (code, told) = measured(&[&arguments[..], &["--repeats", "2"]].concat());
+    assert_eq!(code, Some(0), "{told}");
+    let of = ("a change of the list", "entries");
+    assert_eq!(figures(&told, of.0, of.1, "bytes").len(), 4);
+    let [slope, off, r2] = ["slope", "residual_most", "r2"].map(|v| fit(&told, of.0, of.1, "bytes", v));
+    assert!((120.0..170.0).contains(&slope), "{slope} bytes an entry");
+    assert!(off < slope / 4.0 && r2 > 0.9999, "{told}");
+    assert!(figures(&told, of.0, of.1, "ran_ms").iter().all(|ran| *ran > 0.0));
+}
+
+#[test]
+fn memory_grows_with_what_an_agent_is_told_of() {
+    let sizes = ["--appliances", "10", "2000", "6000", "--tenants", "10", "6000", "30000"];
+    let lanes = ["--lanes", "5", "100", "300"];
+    let (_, told) =
+        measured(&[&["--measure", "appliances", "tenants", "pairs"], &sizes[..], &lanes].concat());
+    for by in ["appliances", "tenants", "appliance-lane pairs"] {
+        let all = figures(&told, "memory", by, "resident_mb");
+        assert!(all.len() == 3 && all.windows(2).all(|w| w[0] < w[1]), "{by}: {all:?}");
+        assert!(fit(&told, "memory", by, "peak_mb", "slope") > 0.0);
+        assert!(fit(&told, "memory", by, "peak_mb", "residual").is_finite());
+    }
+    let out = String::from_utf8(lab(&["--help"]).stdout).unwrap();
+    assert!(out.contains("Exit codes") && out.contains("4 a figure of `fleet`"), "{out}");
+}
+
+/// Each command is out once at least, on a connection of its own, and as many as were asked.
+#[test]
+fn what_is_open_and_connected_is_there_while_it_is_measured() {
+    let arguments = ["--measure", "connections", "open", "--connections", "10", "40", "--open", "5", "20"];
+    let (code, told) = measured(&[&arguments[..], &["--sockets", "256"]].concat());
+    assert_eq!(code, Some(0), "{told}");
+    assert_eq!(figures(&told, "memory", "open commands", "open"), [5.0, 20.0]);
+    let deliveries = figures(&told, "memory", "open commands", "deliveries");
+    assert!(deliveries[0] >= 5.0 && deliveries[1] >= 20.0, "{deliveries:?}");
+    assert!(figures(&told, "memory", "connections", "resident_mb").iter().all(|mb| *mb > 1.0));
+}
+
+/// Bytes of an idle second do not go by the list; whole lists do, and a restart with the list known asks for none.
+#[test]
+fn bytes_for_control_go_by_the_list_only_where_it_is_asked_for() {
+    let sizes = ["--appliances", "10", "400", "--tenants", "10", "--repeats", "1"];
+    let arguments = ["--measure", "idle", "start", "renew", "restart", "--agents", "2"];
+    let (_, told) = measured(&[&arguments[..], &sizes].concat());
+    let idle = figures(&told, "idle, lists pushed", "appliances", "control_bytes_s");
+    assert!(idle.len() == 2 && idle.iter().all(|b| *b < 3000.0), "{idle:?}");
+    assert_eq!(figures(&told, "idle, lists pushed", "appliances", "agents"), [2.0, 2.0]);
+    let list = figures(&told, "start without a list", "appliances", "list_bytes");
+    let entry = (list[1] - list[0]) / 390.0;
+    assert!((120.0..170.0).contains(&entry), "{entry} bytes an entry");
+    let renewed = figures(&told, "a new configuration (SIGHUP)", "appliances", "bytes");
+    assert!(renewed[1] > list[1], "the whole list is asked for: {renewed:?}");
+    let again = figures(&told, "new settings (restart)", "appliances", "bytes");
+    assert!(again[1] < list[1], "only changes are: {again:?}");
+    for by in ["appliances", "tenants"] {
+        assert!(figures(&told, "a new configuration (SIGHUP)", by, "in_force_ms").iter().all(|ms| *ms > 0.0));
+        let enough = figures(&told, "new settings (restart)", by, "SIGHUP_enough");
+        assert!(enough.iter().all(|yes| *yes == 0.0), "settings are taken over at SIGHUP: {enough:?}");
+    }
+}
+
+/// The load is the same each time: so many commands, over lanes and tenants that the settings name.
+#[test]
+fn a_load_asks_by_its_seed_for_lanes_and_tenants_of_the_settings() {
+    let arguments = ["--measure", "commands", "added", "--appliances", "10", "60", "--tenants", "30"];
+    let (_, told) = measured(&[&arguments[..], &["--rate", "40", "--repeats", "1"]].concat());
+    let asked = |measure: &str| figures(&told, measure, "appliances", "asked");
+    let (commands, added) = (asked("commands at 40 a second"), asked("added to a request at 40 a second"));
+    assert!(commands[0] > 10.0 && commands[0] == commands[1], "{commands:?}");
+    assert!(added[0] > 10.0 && added[0] == added[1], "{added:?}");
+    for figure in ["added_p50_ms", "added_p99_ms", "added_p99_most_ms", "through_p99_ms", "straight_p99_ms"] {
+        assert_eq!(figures(&told, "added to a request at 40 a second", "appliances", figure).len(), 2);
+    }
+    assert_eq!(figures(&told, "commands at 40 a second", "tenants", "us_a_command").len(), 1);
+
+    let stand = Stand::start(&size(), Ways::default()).unwrap();
+    let at = stand.appliances[0].address(0);
+    let answered = measure::load(&size(), at, 60.0, Duration::from_secs(1), 3);
+    let seen = stand.appliances[0].seen();
+    assert!(answered.asked > 20 && seen.len() as u64 == answered.asked, "{}", seen.len());
+    assert!(seen.iter().all(|s| s.lane.starts_with("route-") && s.statement.contains(",t=tenant-")));
+    assert!(seen.iter().any(|s| s.key.is_some()));
+    let lanes: std::collections::BTreeSet<_> = seen.iter().map(|s| &s.lane).collect();
+    assert!(lanes.len() > 3, "{lanes:?}");
+}
+
+#[test]
+fn what_would_not_fit_is_refused_with_its_estimate_before_anything_starts() {
+    // No such program: whoever came to start it would say so.
+    let refused = |arguments: &[&str], why: &str| {
+        let out =
+            lab(&[&["--agent", "/nowhere/tulipwall-agent", "--measure", "appliances"], arguments].concat());
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(1));
+        assert!(said.contains(why) && said.contains("the run would take"), "{said}");
+        assert!(out.stdout.is_empty());
+    };
+    refused(&["--agents", "101"], "101 agents of");
+    refused(&["--agents", "100", "--appliances", "1000000"], "at most 4096 MB are taken");
+    let out = lab(&["--agent", "/nowhere/tulipwall-agent", "--measure", "appliances"]);
+    assert!(String::from_utf8(out.stderr).unwrap().contains("no such program"));
+    assert_eq!(lab(&["--appliances", "0"]).status.code(), Some(2));
+    assert_eq!(lab(&["--limit", "peak_mb"]).status.code(), Some(2));
+
+    let room = Machine { memory: 8 << 30, descriptors: 20_000, load: 0.0, cores: 8, own_cores: 8 };
+    let of = |agents, tenants| estimate::size(&Size { agents, tenants, ..size() }, 0);
+    assert_eq!(of(100, 1000).refused(&room), None);
+    let why = |e: Estimate, m: Machine| e.refused(&m).unwrap_or_default();
+    let little = Machine { memory: 2 << 30, ..room };
+    assert!(why(of(100, 1000), little).contains("of which half is left"));
+    assert!(
+        why(of(100, 1000), Machine { descriptors: 1024, ..room }).contains("1024 descriptors are allowed")
+    );
+    // It does not overflow.
+    assert!(of(usize::MAX, usize::MAX).refused(&room).is_some());
+}
+
+/// Else a run that does not fit would be let in.
+#[test]
+fn an_agent_takes_no_more_than_its_estimate() {
+    let size = Size { appliances: 3000, lanes: 300, tenants: 5000, ..size() };
+    let stand = Stand::start(&size, Ways::default()).unwrap();
+    let member = stand.agent(agent(), 0, true).unwrap();
+    let clients: Vec<_> = (0..20).map(|_| Caller::connect(member.address().unwrap()).unwrap()).collect();
+    let (took, told) = (member.usage().unwrap().peak, estimate::size(&size, clients.len()).agent);
+    assert!(took <= told, "{took} of {told}");
+}
+
+#[test]
+fn what_lies_beyond_a_limit_is_listed_and_has_an_exit_code_of_its_own() {
+    let sizes = ["--measure", "appliances", "--appliances", "10", "20"];
+    let (code, told) = measured(&sizes);
+    assert_eq!((code, told["beyond"].as_array().map(Vec::len)), (Some(0), Some(0)), "{told}");
+    let (code, told) = measured(&[&sizes[..], &["--limit", "peak_mb=1"]].concat());
+    assert_eq!((code, told["beyond"].as_array().map(Vec::len)), (Some(4), Some(2)), "{told}");
+    let row = |figure, value| Row { measure: "m", by: "n", size: 7.0, figures: vec![(figure, value)] };
+    let results = |figure, value| {
+        let mut of = Results { limits: limits(), ..Results::default() };
+        of.add(vec![row(figure, value)], &[]);
+        of.beyond()
+    };
+    // The operators' letter, figure by figure.
+    let letter = [
+        ("control_core_%", 1.2),
+        ("peak_mb", 256.0),
+        ("control_bytes_s", 3000.0),
+        ("in_force_ms", 4000.0),
+        ("added_p99_ms", 7.9),
+    ];
+    for (figure, most) in letter {
+        assert!(results(figure, most).is_empty(), "{figure}");
+        assert!(results(figure, most * 1.01)[0].contains(figure), "{figure}");
+    }
+}
