Idle processor time by pairs of appliance and lane

An idle agent with 7,700 appliances took 2% of a core with 11 lanes, 12 to 13% with 110 and all of one with 1,600 (5 s each, busy machine): neither count alone says so.

--- a/crates/lab/src/fleet/estimate.rs
+++ b/crates/lab/src/fleet/estimate.rs
@@ -63,8 +63,10 @@
 /// The largest moment of all measures.
 pub fn plan(p: &Plan) -> Estimate {
     let mut most = Estimate { agents: 0, agent: 0, memory: 0, descriptors: 0 };
-    for m in &p.measures {
-        for (s, clients) in p.sizes(*m) {
+    // An idle agent is measured by pairs as well.
+    let pairs = p.measures.contains(&Measure::Idle).then_some(Measure::Pairs);
+    for m in p.measures.iter().copied().chain(pairs) {
+        for (s, clients) in p.sizes(m) {
             let e = size(&s, clients);
             most = Estimate {
                 agents: most.agents.max(e.agents),
--- a/crates/lab/src/fleet/measure.rs
+++ b/crates/lab/src/fleet/measure.rs
@@ -12,6 +12,7 @@
 use tulipwall_standins::{program, Act, Answered, Caller, Lane, Load, Told, Ways};
 
 const MB: f64 = 1e6;
+const PAIRS: &str = "appliance-lane pairs";
 /// Settings that are not in force by then are not taken over.
 const TAKEN_OVER_WITHIN: Duration = Duration::from_secs(2);
 /// How long clients wait in loads.
@@ -56,7 +57,8 @@
             Measure::Connections => results.add(connections(plan)?, &["resident_mb"]),
             Measure::Open => results.add(open(plan)?, &["resident_mb"]),
             Measure::Idle => {
-                for (by, sizes) in apart(plan, *m) {
+                let pairs = plan.sizes(Measure::Pairs).into_iter().map(|(s, _)| s).collect();
+                for (by, sizes) in apart(plan, *m).into_iter().chain([(PAIRS, pairs)]) {
                     let rows = sizes.iter().map(|s| idle(plan, s, by)).collect::<io::Result<_>>()?;
                     results.add(rows, &["control_core_%"]);
                 }
@@ -130,7 +132,7 @@
     let (by, of): (_, fn(&Size) -> usize) = match m {
         Measure::Lanes => ("lanes", |s| s.lanes),
         Measure::Tenants => ("tenants", |s| s.tenants),
-        Measure::Pairs => ("appliance-lane pairs", |s| s.appliances * s.lanes),
+        Measure::Pairs => (PAIRS, |s| s.appliances * s.lanes),
         _ => ("appliances", |s| s.appliances),
     };
     let row = |(size, _): (Size, usize)| {
@@ -384,7 +386,12 @@
 }
 
 fn size_by(size: &Size, by: &str) -> f64 {
-    (if by == "tenants" { size.tenants } else { size.appliances }) as f64
+    let count = match by {
+        PAIRS => size.appliances * size.lanes,
+        "tenants" => size.tenants,
+        _ => size.appliances,
+    };
+    count as f64
 }
 
 /// A load over lanes and tenants from all parts of the settings; it waits for its end.
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -78,7 +78,7 @@
     Connections,
     /// Memory by commands that are open.
     Open,
-    /// Processor time and bytes of an idle agent, by appliances and by tenants.
+    /// Processor time and bytes of an idle agent, by appliances, by tenants and by pairs.
     Idle,
     /// Start to ready, with and without a list, and the taking in of it, by appliances.
     Start,
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -185,7 +185,9 @@
 #[test]
 fn an_idle_second_does_not_go_by_the_list_and_a_whole_list_does() {
     let arguments = ["--measure", "idle", "start", "--agents", "2"];
-    let (_, told) = measured(&[&arguments[..], &FEW].concat());
+    let (_, told) = measured(&[&arguments[..], &FEW, &["--lanes", "2", "5"]].concat());
+    let pairs = rows(&told, "idle, lists pushed", "appliance-lane pairs");
+    assert_eq!(pairs.iter().filter_map(|r| r["size"].as_f64()).collect::<Vec<_>>(), [800.0, 2000.0]);
     let idle = figures(&told, "idle, lists pushed", "appliances", "control_bytes_s");
     assert!(idle.len() == 2 && idle.iter().all(|b| *b < 3000.0), "{idle:?}");
     assert_eq!(figures(&told, "idle, lists pushed", "appliances", "agents"), [2.0, 2.0]);
