--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -137,6 +137,7 @@
         limit("control_core_%", 1.2, "1.2% of a core for control"),
         limit("peak_mb", 256.0, "256 MB"),
         limit("control_bytes_s", 3000.0, "3 KB a second for control"),
+        limit("bytes_s_at_1000_a_day", 3000.0, "3 KB a second for control, of 1,000 changes a day"),
         limit("in_force_ms", 4000.0, "in force within 4 s"),
         limit("added_p99_ms", 7.9, "7.9 ms added to 99 in 100 requests"),
     ]
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -342,6 +342,7 @@
         ("control_core_%", 1.2),
         ("peak_mb", 256.0),
         ("control_bytes_s", 3000.0),
+        ("bytes_s_at_1000_a_day", 3000.0),
         ("in_force_ms", 4000.0),
         ("added_p99_ms", 7.9),
     ];
