--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod records;
 pub mod report;
 pub mod run;
+pub mod scale;
 pub mod scenario;
 pub mod stats;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -16,7 +16,7 @@
 
 const EXITS: &str = "\
 Exit codes: 0 done; 1 a scenario or a file of records is wrong, or an agent could not be reached; 2 the command line is
-wrong; 3 a rule was broken in some run; 4 a figure of `fleet` lies beyond a limit of the operators.";
+wrong; 3 a rule was broken in some run; 4 a figure of `fleet` or of `scale --full` lies beyond a limit of the operators.";
 
 /// Experiments on a model of the whole installation, and load on real agents.
 #[derive(Parser)]
@@ -67,6 +67,8 @@
         /// Its number at that agent, from 0.
         command: u64,
     },
+    /// Hollow agents by their number, appliances, services, lanes and tenants: what each costs, against the limits.
+    Scale(tulipwall_lab::scale::command::Scale),
     /// Drive a real agent over its protocol, open loop.
     Load(Drive),
     /// What real agents on loopback take and add: memory, processor time, bytes, latency.
@@ -128,6 +130,11 @@
         }
         Command::Load(drive) => drive.run(),
         Command::Fleet(options) => return fleet::main(*options),
+        Command::Scale(scale) => match scale.run(free()) {
+            Ok(beyond) if beyond.is_empty() => Ok(true),
+            Ok(_) => return 4.into(),
+            Err(what) => Err(what),
+        },
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/lab/src/scale/command.rs
@@ -0,0 +1,233 @@
+//! `tulipwall-lab scale`.
+
+use super::play::{Outcome, Play};
+use super::reckon::{readings, reckon, HEAD};
+use super::report::{memory_beyond, rows_table, Report, Rowed, Swept};
+use super::rows::{rows, sweeps, Sweep, RESTARTS};
+use super::size::Size;
+use clap::{Args, ValueEnum};
+use serde_json::json;
+use std::path::PathBuf;
+use std::process::Command;
+
+/// Half of the machine's memory at most, and no more than this, in bytes.
+const MEMORY_MOST: f64 = 8e9;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Only {
+    Sweeps,
+    Rows,
+}
+
+#[derive(Args, Clone, Debug)]
+#[command(after_help = "\
+Without sizes: slopes over each count, then what befalls an installation; with `--full` at the operators' size. With any \
+size: the rows of an installation of that size, or those named by `--row`.
+Exit codes: 0 done; 1 it would not fit in memory, or could not be played; 2 the command line is wrong; 4 with `--full`: \
+something lies beyond the operators' limits (1.2% of a core, 256 MB, 3 kB a second for an agent; 4 s), each listed.")]
+pub struct Scale {
+    /// At the operators' size; several minutes and up to 8 GB.
+    #[arg(long)]
+    full: bool,
+    /// Only the slopes, or only the rows.
+    #[arg(long, value_enum)]
+    only: Option<Only>,
+    /// A row by its name; several may be given.
+    #[arg(long, value_name = "NAME")]
+    row: Vec<String>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Threads of agents.
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=256))]
+    cores: u16,
+    /// Memory that it may take, in GB; at most half of the machine's and of what is free.
+    #[arg(long, value_name = "GB")]
+    memory: Option<f64>,
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Points and lines, as SVG.
+    #[arg(long, value_name = "FILE")]
+    plot: Option<PathBuf>,
+    #[arg(long)]
+    services: Option<usize>,
+    /// All agents together.
+    #[arg(long)]
+    agents: Option<usize>,
+    /// All appliances together.
+    #[arg(long)]
+    appliances: Option<usize>,
+    /// Of one service.
+    #[arg(long)]
+    lanes: Option<usize>,
+    /// Of one service.
+    #[arg(long)]
+    tenants: Option<usize>,
+    /// Commands a second for each agent, at the peak.
+    #[arg(long)]
+    rate: Option<f64>,
+    /// Calls a second that discovery answers, for each agent.
+    #[arg(long)]
+    calls: Option<f64>,
+    /// Commands a second for each agent in all rows but the peak.
+    #[arg(long)]
+    quiet: Option<f64>,
+    /// One point of a sweep, in a process of its own.
+    #[arg(long, hide = true)]
+    point: Option<String>,
+}
+
+/// Bytes of memory that this machine has.
+fn machine() -> f64 {
+    let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let line = text.lines().find(|l| l.starts_with("MemTotal:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|n| n.parse::<f64>().ok()).map_or(f64::MAX, |kb| kb * 1024.0)
+}
+
+impl Scale {
+    /// Runs it and prints what it measured. What lies beyond the limits, with `--full`.
+    ///
+    /// # Errors
+    /// It would not fit in memory, or cannot be played or written.
+    pub fn run(&self, free: f64) -> Result<Vec<String>, String> {
+        if let Some(point) = &self.point {
+            return self.point(point);
+        }
+        let most = self.memory.map_or(MEMORY_MOST, |gb| gb * 1e9).min(machine() / 2.0).min(free / 2.0);
+        let mut report = Report { seed: self.seed, ..Report::default() };
+        let parts = self.parts(most);
+        let needs = parts.iter().map(|(_, s, _)| s.memory(false)).fold(0.0, f64::max);
+        if needs > most {
+            let [needs, most, free] = [needs, most, free].map(|b| b / 1e9);
+            return Err(format!("it would take about {needs:.1} GB; {most:.1} GB may be taken, {free:.1} GB are free"));
+        }
+        let sized = self.size() != Size::default();
+        if self.only != Some(Only::Rows) && !sized && self.row.is_empty() {
+            for sweep in sweeps(self.full, self.seed) {
+                let swept = Swept::of(&sweep, &self.swept(&sweep)?);
+                println!("{}", swept.table());
+                report.sweeps.push(swept);
+            }
+            let reckoned = reckon(&report.sweeps);
+            println!("{HEAD}");
+            reckoned.iter().for_each(|r| println!("{}", r.line()));
+            println!();
+            report.beyond.extend(reckoned.iter().flat_map(|r| r.beyond()));
+        }
+        if self.only != Some(Only::Sweeps) {
+            for (reading, size, quiet) in parts {
+                self.rows(&reading, size, quiet, &mut report)?;
+            }
+        }
+        report.beyond.extend(report.rows.iter().flat_map(|r| r.beyond.iter().map(move |b| format!("{}, {}: {b}", r.reading, r.name))));
+        if let Some(path) = &self.json {
+            let text = serde_json::to_string_pretty(&json!(report)).map_err(|e| e.to_string())?;
+            std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        }
+        if let Some(path) = &self.plot {
+            std::fs::write(path, report.plot()?).map_err(|e| format!("{}: {e}", path.display()))?;
+        }
+        println!("Beyond the limits: {}", report.beyond.len());
+        report.beyond.iter().for_each(|b| println!("- {b}"));
+        Ok(if self.full { report.beyond } else { Vec::new() })
+    }
+
+    fn size(&self) -> Size {
+        let d = Size::default();
+        Size {
+            services: self.services.unwrap_or(d.services).max(1),
+            agents: self.agents.unwrap_or(d.agents).max(1),
+            appliances: self.appliances.unwrap_or(d.appliances).max(1),
+            lanes: self.lanes.unwrap_or(d.lanes).max(1),
+            tenants: self.tenants.unwrap_or(d.tenants),
+            rate: self.rate.unwrap_or(d.rate),
+            calls: self.calls.unwrap_or(d.calls),
+            ..d
+        }
+    }
+
+    /// The installations whose rows are played, by name, and the load of all rows but the peak.
+    fn parts(&self, most: f64) -> Vec<(String, Size, Option<f64>)> {
+        let size = self.size();
+        if size != Size::default() {
+            return vec![("as told".into(), size, self.quiet)];
+        }
+        let [(mean, one), (largest, tenth), (every, all)] = readings();
+        if !self.full {
+            let two = Size { services: 2, agents: 12, appliances: 110, ..one };
+            return vec![("two mean services".into(), two, self.quiet)];
+        }
+        let services = Size { services: 140, agents: 770, appliances: 7700, ..one };
+        // As many lanes as fit, then as many agents; the lines reckon the rest.
+        let lanes = [1600, 160, 11].into_iter().find(|lanes| Size { lanes: *lanes, ..all }.memory(false) <= most);
+        let mut fits = Size { lanes: lanes.unwrap_or(11), ..all };
+        while fits.memory(false) > most && fits.agents > 1 {
+            fits.agents -= 1;
+        }
+        vec![
+            (format!("140 of the {mean}"), services, self.quiet),
+            (largest.into(), tenth, self.quiet),
+            (format!("{every}, {} agents, {} lanes", fits.agents, fits.lanes), fits, self.quiet.or(Some(1.0))),
+        ]
+    }
+
+    fn swept(&self, sweep: &Sweep) -> Result<Vec<Outcome>, String> {
+        if !sweep.apart {
+            return sweep.plays.iter().map(|(_, play)| play.run()).collect();
+        }
+        let program = std::env::current_exe().map_err(|e| e.to_string())?;
+        let one = |n: usize| {
+            let mut call = Command::new(&program);
+            call.args(["scale", "--seed", &self.seed.to_string(), "--point", &format!("{}:{n}", sweep.name)]);
+            let out = call.args(self.full.then_some("--full")).output().map_err(|e| e.to_string())?;
+            let told: serde_json::Value = serde_json::from_slice(&out.stdout)
+                .map_err(|_| format!("{}: {}", sweep.name, String::from_utf8_lossy(&out.stderr)))?;
+            let memory = told["memory"].as_f64().unwrap_or_default();
+            let agents = told["agents"].as_u64().unwrap_or_default() as usize;
+            Ok(Outcome { memory, agents, ..Outcome::default() })
+        };
+        (0..sweep.plays.len()).map(one).collect()
+    }
+
+    fn point(&self, point: &str) -> Result<Vec<String>, String> {
+        let all = sweeps(self.full, self.seed);
+        let found = point.rsplit_once(':').and_then(|(name, n)| {
+            let sweep = all.iter().find(|s| s.name == name)?;
+            sweep.plays.get(n.parse::<usize>().ok()?)
+        });
+        let (_, play) = found.ok_or_else(|| format!("no point {point}"))?;
+        println!("{}", json!(play.run()?));
+        Ok(Vec::new())
+    }
+
+    fn rows(&self, reading: &str, size: Size, quiet: Option<f64>, report: &mut Report) -> Result<(), String> {
+        let all = rows(size, quiet);
+        if let Some(name) = self.row.iter().find(|name| !all.iter().any(|r| r.name == *name)) {
+            let known: Vec<&str> = all.iter().map(|r| r.name).collect();
+            return Err(format!("no row '{name}'; known are {}", known.join(", ")));
+        }
+        println!("{reading}: {}", json!(size));
+        let from = report.rows.len();
+        for row in all.iter().filter(|r| self.row.is_empty() || self.row.iter().any(|name| name == r.name)) {
+            let timed = quiet.is_none() || row.name == "peak";
+            let play: Play = row.play(self.seed, usize::from(self.cores));
+            report.rows.push(Rowed::of(reading, row, play.run()?, timed));
+        }
+        let here = &report.rows[from..];
+        print!("{}", rows_table(here));
+        let of = |name: &str| here.iter().find(|r| r.name == name).map(|r| &r.outcome);
+        if let (Some(calm), Some(peak)) = (of("calm"), of("peak")) {
+            let kept = peak.kept;
+            println!("kept by one agent at the peak: {} commands, {} appliances, {} builds, {} keys, {} listed", kept[0], kept[1], kept[2], kept[3], kept[4]);
+            for (name, what) in [("restarts", "restart of an appliance"), ("agents", "restart of an agent")] {
+                if let Some(o) = of(name) {
+                    let each = (o.discovery_bytes - calm.discovery_bytes) * o.seconds / 12.0;
+                    println!("{what}: {each:.0} bytes from discovery in sum; {:.0} a second on a day of {RESTARTS}", each * RESTARTS / 86_400.0);
+                }
+            }
+        }
+        let memory = here.iter().map(|r| r.outcome.memory / r.outcome.agents.max(1) as f64).fold(0.0, f64::max);
+        println!("memory, an agent: {:.1} MB (settings shared)\n", memory / 1e6);
+        report.beyond.extend(memory_beyond(memory).map(|b| format!("{reading}: {b}")));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/hollow.rs
@@ -0,0 +1,622 @@
+//! A hollow agent: the real decisions, list, reading and watchdog in simulated time, without sockets. It decides
+//! nothing of its own; where an answer of an appliance comes from chance, the chance is drawn from the told seed.
+
+use super::meter::{cpu, Kind, Meter, Work};
+use super::size::{tenant, Size};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tulipwall::{Answer, Choice, Command, End, News, Outcome};
+use tulipwall_agent::wire::platform::{self, Line};
+use tulipwall_agent::wire::http;
+use tulipwall_deployment::Site;
+use tulipwall_membership::clock::Clock;
+use tulipwall_membership::list::List;
+use tulipwall_membership::listing::{self, Listing};
+use tulipwall_membership::watchdog::{Ended, Watchdog};
+
+/// As the real agent's: without a line for so long its connection to the platform is opened anew.
+const PLATFORM_SILENT: Duration = Duration::from_millis(3500);
+/// How long a client waits.
+const EXPIRY: Duration = Duration::from_millis(1500);
+const WORK_MS: f64 = 20.0;
+/// There and back to an appliance.
+const WAY: Duration = Duration::from_millis(1);
+
+/// What is so, whatever anyone was told.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    /// By appliance: its machine is gone, and silent.
+    pub down: Vec<bool>,
+    /// The regions do not reach each other. Discovery and platform are in the first.
+    pub cut: bool,
+}
+
+/// What comes to an agent.
+#[derive(Clone, Debug)]
+pub enum Mail {
+    /// Discovery's whole HTTP answer to a call.
+    Told { call: u64, status: u16, bytes: Arc<Vec<u8>> },
+    /// A line of the platform's.
+    Line { kind: Kind, bytes: Arc<Vec<u8>> },
+    /// SIGHUP: a new configuration.
+    Reload,
+    /// The process ends and another begins, with this list from its configuration.
+    Restart { known: Arc<Vec<u8>> },
+}
+
+/// What an agent sends.
+#[derive(Clone, Debug)]
+pub enum Post {
+    Ask {
+        call: u64,
+        path: String,
+    },
+    /// The connection of this call is closed.
+    Drop {
+        call: u64,
+    },
+    /// A connection to the platform, in the place of any other.
+    Open {
+        line: String,
+    },
+    Vote {
+        line: String,
+    },
+}
+
+enum What {
+    Arrive,
+    Ends(u64, usize, Outcome),
+    Look(u64),
+    Expires(u64),
+    Due,
+    Begin(u64),
+    Second(u64),
+    Late(u64),
+    Quiet,
+}
+
+struct Event {
+    at: Duration,
+    order: u64,
+    what: What,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, other: &Event) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Event {}
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Event) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Event {
+    fn cmp(&self, other: &Event) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// A command in hand.
+struct Live {
+    out: Vec<Option<(Duration, Option<Rc<()>>)>>, // deliveries: when sent, and the hold on its number
+    look: Option<Duration>,
+    answered: bool,
+}
+
+/// How it stands with discovery.
+enum Talk {
+    Idle,
+    /// The first calls of a watch, the second of which goes out beside the first where one is due.
+    Begins {
+        calls: Vec<u64>,
+        two: bool,
+        path: String,
+        time: Duration,
+    },
+    Watches(u64),
+}
+
+/// What an agent counts beside its meter.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub commands: u64,
+    pub satisfied: u64,
+    pub deliveries: u64,
+    /// Looks at appliances by the module's walks.
+    pub looks: u64,
+    pub surveys: u64,
+    /// When which version was known.
+    pub learnt: Vec<(Duration, u64)>,
+    /// From a SIGHUP until discovery and the platform were heard anew.
+    pub renewed: Vec<Duration>,
+    /// What it keeps: commands, appliances, builds, keys, and what is listed.
+    pub kept: [usize; 5],
+}
+
+pub struct Hollow {
+    pub number: usize,
+    size: Size,
+    site: Rc<Site>,
+    clock: Rc<Clock>,
+    choice: Choice,
+    list: List,
+    watchdog: Watchdog,
+    rng: Pcg64Mcg,
+    events: BinaryHeap<Reverse<Event>>,
+    order: u64,
+    commands: HashMap<u64, Live>,
+    taken: u64,
+    calls: u64,
+    begins: u64, // the beginning that is due
+    again: bool, // one is
+    due: bool,
+    talk: Talk,
+    owes: [bool; 2], // to hear discovery and the platform anew
+    reloaded: Duration,
+    quiet_until: Duration,
+    lives: u64,
+    pub posts: Vec<(Duration, usize, Post)>,
+    pub meter: Meter,
+    pub counts: Counts,
+    looked: u64, // by earlier lives, and before the count began
+}
+
+impl Hollow {
+    pub fn start(number: usize, size: Size, site: Rc<Site>, clock: Rc<Clock>, seed: u64, now: Duration) -> Hollow {
+        let seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64;
+        let (choice, watchdog) = begin(&site, &size, number, seed, now);
+        let mut hollow = Hollow {
+            number,
+            size,
+            site,
+            clock,
+            choice,
+            list: List::default(),
+            watchdog,
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0xa11c),
+            events: BinaryHeap::new(),
+            order: 0,
+            commands: HashMap::new(),
+            taken: 0,
+            calls: 0,
+            begins: 0,
+            again: false,
+            due: false,
+            talk: Talk::Idle,
+            owes: [false; 2],
+            reloaded: now,
+            quiet_until: now,
+            lives: seed,
+            posts: Vec::new(),
+            meter: Meter::default(),
+            counts: Counts::default(),
+            looked: 0,
+        };
+        hollow.push(now, What::Due);
+        hollow.push(now, What::Quiet);
+        hollow.arrive(now);
+        hollow
+    }
+
+    fn push(&mut self, at: Duration, what: What) {
+        self.order += 1;
+        self.events.push(Reverse(Event { at, order: self.order, what }));
+    }
+
+    /// All that happens before `until`, with what comes in; both in the order of their times.
+    pub fn step(&mut self, until: Duration, truth: &Truth, mail: Vec<(Duration, Mail)>) {
+        let mut mail = mail.into_iter().peekable();
+        loop {
+            let next = self.events.peek().map(|e| e.0.at).filter(|at| *at < until);
+            match (next, mail.peek().map(|m| m.0)) {
+                (Some(at), Some(came)) if at < came => self.event(truth),
+                (_, Some(_)) => {
+                    if let Some((at, what)) = mail.next() {
+                        self.heard(at, what);
+                    }
+                }
+                (Some(_), None) => self.event(truth),
+                (None, None) => return,
+            }
+        }
+    }
+
+    /// Counts from now on.
+    pub fn count_from(&mut self, now: Duration) {
+        self.meter = Meter { from: now, clock: self.meter.clock, ..Meter::default() };
+        let learnt = std::mem::take(&mut self.counts.learnt);
+        self.counts = Counts { learnt, ..Counts::default() };
+        self.looked = self.choice.looks();
+    }
+
+    pub fn finish(&mut self) {
+        self.counts.looks += self.choice.looks() - self.looked;
+        let [commands, appliances, builds, keys] = self.choice.kept();
+        self.counts.kept = [commands, appliances, builds, keys, self.list.len()];
+    }
+
+    fn event(&mut self, truth: &Truth) {
+        let Some(Reverse(Event { at: now, what, .. })) = self.events.pop() else { return };
+        match what {
+            What::Arrive => self.command(now, truth),
+            What::Ends(id, n, outcome) => self.ends(now, id, n, outcome, truth),
+            What::Look(id) => {
+                if self.commands.get(&id).is_some_and(|c| !c.answered && c.look == Some(now)) {
+                    let begun = cpu();
+                    let answer = self.choice.place(now, id);
+                    self.meter.spent(now, Work::Decisions, begun);
+                    self.act(now, id, answer, truth);
+                }
+            }
+            What::Expires(id) => {
+                if self.commands.get(&id).is_some_and(|c| !c.answered) {
+                    self.choice.left(id);
+                    self.done(id);
+                }
+            }
+            What::Due => self.due(now),
+            What::Begin(nth) if nth == self.begins && self.again => self.begin(now),
+            What::Begin(_) => {}
+            What::Second(first) => self.second(now, first),
+            What::Late(call) => self.failed(now, call, Ended::Silent),
+            What::Quiet => self.platform(now),
+        }
+    }
+
+    // Commands.
+
+    fn arrive(&mut self, now: Duration) {
+        if self.size.rate > 0.0 {
+            let gap = -self.rng.gen_range(f64::MIN_POSITIVE..1.0).ln() / self.size.rate;
+            self.push(now + Duration::from_secs_f64(gap), What::Arrive);
+        }
+    }
+
+    fn command(&mut self, now: Duration, truth: &Truth) {
+        self.arrive(now);
+        let name = tenant(self.rng.gen_range(0..self.size.tenants.max(1)));
+        let (lane, key) = (self.rng.gen_range(0..self.size.lanes), self.rng.gen());
+        let begun = cpu();
+        let customer = self.site.customer(&name);
+        self.meter.spent(now, Work::Tenants, begun);
+        let command = Command { lane, customer, key: Some(key), left: EXPIRY, work: None, again: false };
+        let id = self.taken;
+        self.taken += 1;
+        self.counts.commands += 1;
+        let begun = cpu();
+        self.choice.take(now, id, command);
+        let answer = self.choice.place(now, id);
+        self.meter.spent(now, Work::Decisions, begun);
+        self.commands.insert(id, Live { out: Vec::new(), look: None, answered: false });
+        self.push(now + EXPIRY, What::Expires(id));
+        self.act(now, id, answer, truth);
+    }
+
+    /// As the agent acts on what the module answers.
+    fn act(&mut self, now: Duration, id: u64, mut answer: Answer, truth: &Truth) {
+        loop {
+            match answer {
+                Answer::Send { appliance, time_out, look } => {
+                    self.send(now, id, appliance, time_out, truth);
+                    look.into_iter().for_each(|at| self.look(id, at));
+                    return;
+                }
+                Answer::NotYet { until } => return self.look(id, until),
+                Answer::Deny { .. } | Answer::Scrap => return self.done(id),
+                Answer::Withdraw { delivery } => {
+                    match self.end(now, id, delivery, Outcome::Withdrawn, false) {
+                        Some(next) => answer = next,
+                        None => return,
+                    }
+                }
+                Answer::Wait => return,
+            }
+        }
+    }
+
+    fn look(&mut self, id: u64, at: Duration) {
+        if let Some(c) = self.commands.get_mut(&id) {
+            c.look = Some(at);
+            self.push(at, What::Look(id));
+        }
+    }
+
+    fn send(&mut self, now: Duration, id: u64, appliance: usize, time_out: Duration, truth: &Truth) {
+        let begun = cpu();
+        let (target, held) = (self.list.target(appliance), self.list.hold(appliance));
+        self.meter.spent(now, Work::Decisions, begun);
+        let (took, outcome) = match target.map(|t| (t.address, t.zone)) {
+            None => (Duration::ZERO, Outcome::NotSent),
+            Some((address, zone)) => {
+                let own = self.size.region(self.size.zone(self.number));
+                let away = truth.cut && self.size.region(zone) != own;
+                let drawn = -self.rng.gen_range(f64::MIN_POSITIVE..1.0).ln() * WORK_MS / 1000.0;
+                let took = WAY + Duration::from_secs_f64(drawn);
+                match away || truth.down.get(place(address)) == Some(&true) {
+                    true => (self.site.connect_within.min(time_out), Outcome::NoConnection),
+                    false if took > time_out => (time_out, Outcome::TimedOut),
+                    false => (took, Outcome::Satisfied),
+                }
+            }
+        };
+        let Some(c) = self.commands.get_mut(&id) else { return };
+        c.out.push(Some((now, held)));
+        let nth = c.out.len() - 1;
+        self.counts.deliveries += 1;
+        self.push(now + took, What::Ends(id, nth, outcome));
+    }
+
+    /// Tells the module of an end, unless it was told before.
+    fn end(&mut self, now: Duration, id: u64, n: usize, outcome: Outcome, closed: bool) -> Option<Answer> {
+        let (sent, _held) = self.commands.get_mut(&id)?.out.get_mut(n)?.take()?;
+        let end = End { outcome, took: now.saturating_sub(sent), closed, held: None };
+        let begun = cpu();
+        let answer = self.choice.after(now, id, n, end);
+        self.meter.spent(now, Work::Decisions, begun);
+        Some(answer)
+    }
+
+    fn ends(&mut self, now: Duration, id: u64, n: usize, outcome: Outcome, truth: &Truth) {
+        let Some(answered) = self.commands.get(&id).map(|c| c.answered) else { return };
+        let satisfied = outcome == Outcome::Satisfied && !answered;
+        let Some(answer) = self.end(now, id, n, outcome, satisfied || answered) else { return };
+        if satisfied {
+            self.counts.satisfied += 1;
+            if let Answer::Withdraw { delivery } = answer {
+                self.end(now, id, delivery, Outcome::Withdrawn, true);
+            }
+            self.done(id);
+        } else if answered {
+            self.done(id);
+        } else {
+            self.act(now, id, answer, truth);
+        }
+    }
+
+    /// It has had its answer; what is out may still end.
+    fn done(&mut self, id: u64) {
+        let Some(c) = self.commands.get_mut(&id) else { return };
+        c.answered = true;
+        if c.out.iter().all(Option::is_none) {
+            self.commands.remove(&id);
+        }
+    }
+
+    fn due(&mut self, now: Duration) {
+        let begun = cpu();
+        let due = self.choice.wait(now);
+        self.meter.spent(now, Work::Surveys, begun);
+        self.counts.surveys += 1;
+        self.due |= due.watch;
+        if let Some(vote) = due.vote {
+            self.calls += 1;
+            let line = platform::vote(self.calls, &vote);
+            self.meter.passed(now, Kind::Voted, line.len());
+            self.posts.push((now, self.number, Post::Vote { line }));
+        }
+        if self.due && !self.again && matches!(self.talk, Talk::Idle) {
+            self.begin(now);
+        }
+        self.push(due.until.max(now + Duration::from_millis(1)), What::Due);
+    }
+
+    // Discovery, as `crates/agent/src/discovery.rs` talks to it where calls are paid for.
+
+    fn ask(&mut self, now: Duration, path: &str, time: Duration) -> u64 {
+        self.calls += 1;
+        let call = self.calls;
+        self.meter.passed(now, Kind::Asked, http::get("10.200.0.1:8500", path).len());
+        self.posts.push((now, self.number, Post::Ask { call, path: path.to_owned() }));
+        self.push(now + time, What::Late(call));
+        call
+    }
+
+    fn begin(&mut self, now: Duration) {
+        (self.due, self.again) = (false, false);
+        let wait = self.watchdog.wait(true);
+        let path = match !self.list.is_empty() && !self.owes[0] {
+            true => listing::watch(self.list.version, wait),
+            false => listing::LIST.to_owned(),
+        };
+        let time = wait + self.watchdog.within(true);
+        let call = self.ask(now, &path, time);
+        let second = self.watchdog.second();
+        second.into_iter().for_each(|gap| self.push(now + gap, What::Second(call)));
+        self.talk = Talk::Begins { calls: vec![call], two: second.is_some(), path, time };
+    }
+
+    fn second(&mut self, now: Duration, first: u64) {
+        let Talk::Begins { calls, path, time, .. } = &self.talk else { return };
+        if calls.first() == Some(&first) {
+            let (path, time) = (path.clone(), *time);
+            let call = self.ask(now, &path, time);
+            if let Talk::Begins { calls, .. } = &mut self.talk {
+                calls.push(call);
+            }
+        }
+    }
+
+    /// A call came to nothing. Of two the second counts.
+    fn failed(&mut self, now: Duration, call: u64, ended: Ended) {
+        let ends = match &self.talk {
+            Talk::Idle => false,
+            Talk::Begins { calls, two, .. } => calls.iter().position(|c| *c == call) == Some(usize::from(*two)),
+            Talk::Watches(watch) => *watch == call,
+        };
+        if !ends {
+            return;
+        }
+        self.hang_up(now);
+        match self.watchdog.again(ended) {
+            Some(gap) => {
+                (self.begins, self.again) = (self.begins + 1, true);
+                self.push(now + gap, What::Begin(self.begins));
+            }
+            None => self.choice.list_failed(now),
+        }
+    }
+
+    fn hang_up(&mut self, now: Duration) {
+        let calls = match std::mem::replace(&mut self.talk, Talk::Idle) {
+            Talk::Idle => Vec::new(),
+            Talk::Begins { calls, .. } => calls,
+            Talk::Watches(call) => vec![call],
+        };
+        calls.into_iter().for_each(|call| self.posts.push((now, self.number, Post::Drop { call })));
+    }
+
+    fn told(&mut self, now: Duration, call: u64, status: u16, bytes: &[u8]) {
+        let ours = match &self.talk {
+            Talk::Idle => false,
+            Talk::Begins { calls, .. } => calls.contains(&call),
+            Talk::Watches(watch) => *watch == call,
+        };
+        if !ours {
+            return; // It came to a connection that is closed.
+        }
+        if status != 200 {
+            self.meter.passed(now, Kind::Refused, bytes.len());
+            return self.failed(now, call, Ended::Broken);
+        }
+        if let Talk::Begins { calls, .. } = &self.talk {
+            let others: Vec<u64> = calls.iter().copied().filter(|c| *c != call).collect();
+            others.into_iter().for_each(|call| self.posts.push((now, self.number, Post::Drop { call })));
+        }
+        let Some(spoilt) = self.read(now, bytes) else { return self.failed(now, call, Ended::Spoilt) };
+        if spoilt {
+            return self.failed(now, call, Ended::Spoilt);
+        }
+        self.watchdog.told();
+        self.renewed(now, 0);
+        let wait = self.watchdog.wait(false);
+        let path = listing::watch(self.list.version, wait);
+        let next = self.ask(now, &path, wait + self.watchdog.late());
+        self.talk = Talk::Watches(next);
+    }
+
+    /// Reads and takes an HTTP answer; whether it was spoilt in part, nothing where it cannot be read.
+    fn read(&mut self, now: Duration, bytes: &[u8]) -> Option<bool> {
+        let begun = cpu();
+        let answer = http::answer(bytes, false).ok().flatten();
+        let told = answer.and_then(|a| Listing::parse(&a.body).ok());
+        self.meter.spent(now, Work::Reading, begun);
+        let told = told?;
+        let (spoilt, complete) = (told.spoilt.is_some(), told.complete);
+        let kind = match (complete, told.entries.len()) {
+            (true, _) => Kind::Whole,
+            (false, 0) => Kind::Quiet,
+            (false, _) => Kind::Changes,
+        };
+        self.meter.passed(now, kind, bytes.len());
+        self.take(now, told, complete);
+        Some(spoilt)
+    }
+
+    fn take(&mut self, now: Duration, told: Listing, complete: bool) {
+        let begun = cpu();
+        let (entries, _) = self.list.take(told, &self.site, &self.clock);
+        self.meter.spent(now, Work::Taking, begun);
+        let begun = cpu();
+        self.choice.list(now, &entries, complete);
+        self.meter.spent(now, Work::Listing, begun);
+        if self.counts.learnt.last().is_none_or(|l| l.1 != self.list.version) {
+            self.counts.learnt.push((now, self.list.version));
+        }
+    }
+
+    fn renewed(&mut self, now: Duration, party: usize) {
+        if std::mem::take(&mut self.owes[party]) && self.owes == [false; 2] {
+            self.counts.renewed.push(now - self.reloaded);
+        }
+    }
+
+    // The platform, and what happens to the process.
+
+    fn platform(&mut self, now: Duration) {
+        if now >= self.quiet_until {
+            self.open(now);
+        }
+        self.push(self.quiet_until.max(now + Duration::from_millis(50)), What::Quiet);
+    }
+
+    fn open(&mut self, now: Duration) {
+        self.calls += 1;
+        let line = platform::watch(self.calls);
+        self.meter.passed(now, Kind::Voted, line.len());
+        self.posts.push((now, self.number, Post::Open { line }));
+        self.quiet_until = now + PLATFORM_SILENT;
+    }
+
+    fn heard(&mut self, now: Duration, mail: Mail) {
+        match mail {
+            Mail::Told { call, status, bytes } => self.told(now, call, status, &bytes),
+            Mail::Line { kind, bytes } => {
+                self.meter.passed(now, kind, bytes.len());
+                self.quiet_until = now + PLATFORM_SILENT;
+                let begun = cpu();
+                match platform::line(&bytes) {
+                    Ok(Line::News(told)) => {
+                        let began = now.saturating_sub(told.age);
+                        let platform::Told { build, stage, phase, cap, .. } = told;
+                        self.choice.news(News { build, stage, phase, cap, began });
+                    }
+                    Ok(Line::Answer { reply, .. }) => self.choice.reply(now, reply),
+                    _ => {}
+                }
+                self.meter.spent(now, Work::News, begun);
+                self.renewed(now, 1);
+            }
+            Mail::Reload => {
+                (self.owes, self.reloaded) = ([true; 2], now);
+                self.hang_up(now);
+                self.begin(now);
+                self.open(now);
+            }
+            Mail::Restart { known } => self.restart(now, &known),
+        }
+    }
+
+    /// Another process in its place: what was in hand is gone. Its list comes with its configuration.
+    pub fn restart(&mut self, now: Duration, known: &[u8]) {
+        self.hang_up(now);
+        self.lives = self.lives.wrapping_add(0x51_7c_c1);
+        self.counts.looks += self.choice.looks() - self.looked;
+        self.looked = 0;
+        (self.choice, self.watchdog) = begin(&self.site, &self.size, self.number, self.lives, now);
+        self.list = List::default();
+        self.commands.clear();
+        (self.due, self.again, self.owes) = (false, false, [false; 2]);
+        let begun = cpu();
+        let told = Listing::parse(known);
+        self.meter.spent(now, Work::Reading, begun);
+        if let Ok(told) = told {
+            let complete = told.complete;
+            self.take(now, told, complete);
+        }
+        self.open(now);
+    }
+}
+
+fn begin(site: &Site, size: &Size, number: usize, seed: u64, now: Duration) -> (Choice, Watchdog) {
+    let mut deployment = site.deployment.clone();
+    (deployment.seed, deployment.zone) = (seed, size.zone(number));
+    let watchdog = Watchdog::new(&deployment);
+    (Choice::new(now, deployment), watchdog)
+}
+
+/// The appliance at this address.
+fn place(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(a) => u32::from_be_bytes(a.ip().octets()) as usize & 0xff_ffff,
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
--- a/crates/membership/src/clock.rs
+++ b/crates/membership/src/clock.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The clock's zero lies this long before the start, so that what began earlier has a time, too.
-const BEFORE: Duration = Duration::from_secs(3600);
+pub const BEFORE: Duration = Duration::from_secs(3600);
 
 pub struct Clock {
     start: Instant,
@@ -16,6 +16,11 @@
         Clock { start: Instant::now(), start_ms: wall.as_millis() as u64 }
     }
 
+    /// A clock whose zero for wall times is told: for simulated time, which runs from [`Clock::now`]'s first moment.
+    pub fn of_start(start_ms: u64) -> Clock {
+        Clock { start: Instant::now(), start_ms }
+    }
+
     pub fn now(&self) -> Duration {
         self.start.elapsed() + BEFORE
     }
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -1,33 +1,19 @@
 //! Discovery: the list over HTTP, whole or as a watch, told to each zone with the addresses that are its own.
 
 use crate::ground::{self, locked, sleep, Ends};
+use crate::registry::{self, Entry, Registry};
 use async_executor::Task;
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::future::FutureExt;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use serde_json::{json, Value};
-use std::collections::{BTreeMap, VecDeque};
+use serde_json::Value;
+use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-/// One appliance of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    pub id: String,
-    /// By zone of who asks.
-    pub addresses: Vec<SocketAddr>,
-    pub zone: String,
-    pub cell: u64,
-    /// `in_service`, `terminating` or `terminated`.
-    pub state: String,
-    /// Unix time in milliseconds; 0 for long ago.
-    pub started_ms: u64,
-    pub build: u32,
-}
-
 /// What is wrong with it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum Manner {
@@ -57,8 +43,7 @@
     manner: Manner,
     next: VecDeque<Meets>, // how the next connections are met
     hushes: u64,           // how often open connections fell silent
-    version: u64,
-    entries: BTreeMap<String, (u64, Entry)>, // with the version of its last change
+    registry: Registry,
     connections: usize,
     written: usize, // bytes
     asked: usize,
@@ -88,7 +73,6 @@
     /// Listens for those who ask from each of `zones` zones.
     pub fn start(zones: usize) -> io::Result<Discovery> {
         let (shared, ends) = (Arc::<Shared>::default(), Arc::<Ends>::default());
-        shared.state().version = 1;
         let (mut addresses, mut listening) = (Vec::new(), Vec::new());
         for from in 0..zones {
             let s = shared.clone();
@@ -111,19 +95,13 @@
 
     /// Changes or adds entries; who watches is told at once. One version for all of them.
     pub fn tell(&self, entries: impl IntoIterator<Item = Entry>) {
-        let mut state = self.shared.state();
-        state.version += 1;
-        let version = state.version;
-        for e in entries {
-            state.entries.insert(e.id.clone(), (version, e));
-        }
-        drop(state);
+        self.shared.state().registry.tell(entries);
         self.shared.changed.notify(usize::MAX);
     }
 
     /// Changes one entry, if it is listed.
     pub fn change(&self, id: &str, change: impl FnOnce(&mut Entry)) {
-        let found = self.shared.state().entries.get(id).map(|(_, e)| e.clone());
+        let found = self.shared.state().registry.get(id).cloned();
         if let Some(mut e) = found {
             change(&mut e);
             self.tell([e]);
@@ -131,7 +109,7 @@
     }
 
     pub fn entries(&self) -> Vec<Entry> {
-        self.shared.state().entries.values().map(|(_, e)| e.clone()).collect()
+        self.shared.state().registry.entries().cloned().collect()
     }
 
     /// Behaves like this from now on; connections that are open end.
@@ -171,22 +149,10 @@
 
     /// The list as a configuration's `known`.
     pub fn known(&self, from: usize) -> Value {
-        whole(&self.shared.state(), from)
+        self.shared.state().registry.whole(from)
     }
 }
 
-fn entry(e: &Entry, from: usize) -> Value {
-    json!({"id": e.id, "addr": e.addresses[from].to_string(), "zone": e.zone, "kind": "m", "cell": e.cell,
-        "state": e.state, "weight": 1.0, "started_ms": e.started_ms, "release": e.build})
-}
-
-/// What is gone is in no whole list.
-fn whole(state: &State, from: usize) -> Value {
-    let there = state.entries.values().filter(|(_, e)| e.state != "terminated");
-    let servers: Vec<Value> = there.map(|(_, e)| entry(e, from)).collect();
-    json!({"version": state.version, "full": true, "servers": servers})
-}
-
 async fn talk(shared: &Shared, from: usize, mut stream: Async<TcpStream>) -> io::Result<()> {
     let (meets, hushes) = {
         let mut state = shared.state();
@@ -219,13 +185,9 @@
         if shared.state().hushes != hushes {
             futures_lite::future::pending::<()>().await;
         }
-        let body = body.to_string();
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        );
-        shared.state().written += head.len() + body.len();
-        stream.write_all(format!("{head}{body}").as_bytes()).await?;
+        let answer = registry::answer(&body);
+        shared.state().written += answer.len();
+        stream.write_all(answer.as_bytes()).await?;
     }
 }
 
@@ -244,20 +206,11 @@
 
 /// The whole list, or what is newer than the version that is named, for which it waits.
 async fn told(shared: &Shared, from: usize, path: &str) -> Value {
-    let query = path.split_once('?').map_or("", |(_, q)| q);
-    let named = |name: &str| {
-        query
-            .split('&')
-            .filter_map(|p| p.split_once('='))
-            .find(|p| p.0 == name)
-            .and_then(|p| p.1.parse().ok())
-    };
-    let Some(after): Option<u64> = named("after") else { return whole(&shared.state(), from) };
-    let wait = Duration::from_millis(named("wait_ms").unwrap_or(0));
+    let Some((after, wait)) = registry::watched(path) else { return shared.state().registry.whole(from) };
     let newer = async {
         loop {
             let listener = shared.changed.listen();
-            if shared.state().version > after {
+            if shared.state().registry.version > after {
                 return;
             }
             listener.await;
@@ -265,7 +218,5 @@
     };
     newer.or(sleep(wait)).await;
     let state = shared.state();
-    let changed: Vec<Value> =
-        state.entries.values().filter(|(v, _)| *v > after).map(|(_, e)| entry(e, from)).collect();
-    json!({"version": state.version, "full": false, "servers": changed})
+    state.registry.since(after, from)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -19,15 +19,17 @@
 pub mod pg;
 pub mod platform;
 pub mod program;
+pub mod registry;
 pub mod speaker;
 pub mod world;
 
 pub use appliance::{Act, Appliance, Counted, Link, Seen, Ways};
 pub use caller::{Caller, Told};
 pub use cutter::{Cut, Cutter};
-pub use discovery::{Discovery, Entry, Manner, Meets};
+pub use discovery::{Discovery, Manner, Meets};
 pub use load::{Answered, Load};
 pub use platform::{News, Offer, Platform};
 pub use program::{configuration, lanes, service, settings, Lane, Program};
+pub use registry::{Entry, Registry};
 pub use speaker::Speaker;
 pub use world::World;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -31,8 +31,18 @@
 
     /// In the form of a configuration's `deployer.news`.
     pub fn value(&self) -> Value {
+        self.value_at(Instant::now())
+    }
+
+    /// The same as it is told at another time.
+    pub fn value_at(&self, now: Instant) -> Value {
         json!({"image": self.build, "ring": self.stage, "progress": self.phase, "ceiling": self.cap,
-            "lag_ms": self.since.elapsed().as_millis() as u64})
+            "lag_ms": now.saturating_duration_since(self.since).as_millis() as u64})
+    }
+
+    /// The notification of it.
+    pub fn line(&self, now: Instant) -> Value {
+        note("ROLLOUT", self.value_at(now))
     }
 }
 
@@ -44,11 +54,68 @@
     pub step: Duration,
 }
 
+/// What the platform tells unasked.
+pub fn note(method: &str, params: Value) -> Value {
+    json!({"jsonrpc": "2.0", "method": method, "params": params})
+}
+
+/// The calls that the platform takes, and what it knows of the newest build. Without sockets.
+pub struct Desk {
+    pub news: News,
+    pub votes: Vec<(Instant, Value)>,
+    held: Option<Instant>, // the last vote to hold
+}
+
+/// What becomes of a call.
+pub struct Heeded {
+    pub answer: Value,
+    /// It asks to be told what comes.
+    pub watches: bool,
+    /// It changed the news, which are to be told to all.
+    pub news: Option<News>,
+}
+
+impl Desk {
+    pub fn new(news: News) -> Desk {
+        Desk { news, votes: Vec::new(), held: None }
+    }
+
+    pub fn heed(&mut self, now: Instant, call: &Value) -> Heeded {
+        let id = call["id"].clone();
+        let fault =
+            |message: &str| json!({"jsonrpc": "2.0", "id": id, "error": {"code": -32602, "message": message}});
+        let other = |answer| Heeded { answer, watches: false, news: None };
+        match call["method"].as_str() {
+            Some("Events.Watch") => {
+                Heeded { watches: true, ..other(json!({"jsonrpc": "2.0", "id": id, "result": true})) }
+            }
+            Some("Rollout.Judge") => {
+                let params = call["params"].clone();
+                self.votes.push((now, params.clone()));
+                if params["image"] != json!(self.news.build) || params["ring"] != json!(self.news.stage) {
+                    return other(fault("ConditionFailed"));
+                }
+                match params["opinion"].as_str() {
+                    Some("pause") => self.held = Some(now),
+                    Some("abstain" | "promote") => self.held = None,
+                    Some("abort") => {}
+                    _ => return other(fault("ValidationError")),
+                }
+                let abort = params["opinion"] == "abort";
+                let back = || News { since: now, ..News::now(self.news.build, self.news.stage, "rolling_back", 0.0) };
+                let news = abort.then(back);
+                self.news = news.clone().unwrap_or(self.news.clone());
+                let stands = self.news.value_at(now);
+                Heeded { news, ..other(json!({"jsonrpc": "2.0", "id": id, "result": stands})) }
+            }
+            _ => other(fault("ValidationError")),
+        }
+    }
+}
+
 struct State {
-    news: News,
+    desk: Desk,
     notes: Vec<Value>, // notifications, in their order
-    votes: Vec<(Instant, Value)>,
-    held: Option<Instant>, // the last vote to hold
     silent: bool,
     connections: usize,
 }
@@ -64,13 +131,13 @@
     }
 
     fn tell(&self, method: &str, params: Value) {
-        self.state().notes.push(json!({"jsonrpc": "2.0", "method": method, "params": params}));
+        self.state().notes.push(note(method, params));
         self.changed.notify(usize::MAX);
     }
 
     fn news(&self, news: News) {
         let value = news.value();
-        self.state().news = news;
+        self.state().desk.news = news;
         self.tell("ROLLOUT", value);
     }
 }
@@ -87,8 +154,7 @@
 
 impl Platform {
     pub fn start(news: News) -> io::Result<Platform> {
-        let state =
-            State { news, notes: Vec::new(), votes: Vec::new(), held: None, silent: false, connections: 0 };
+        let state = State { desk: Desk::new(news), notes: Vec::new(), silent: false, connections: 0 };
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: Event::new() });
         let ends = Arc::<Ends>::default();
         let s = shared.clone();
@@ -117,7 +183,7 @@
     }
 
     pub fn newest(&self) -> News {
-        self.shared.state().news.clone()
+        self.shared.state().desk.news.clone()
     }
 
     /// A client found an answer of this appliance wrong.
@@ -151,7 +217,7 @@
 
     /// The votes that came: when, and their parameters.
     pub fn votes(&self) -> Vec<(Instant, Value)> {
-        self.shared.state().votes.clone()
+        self.shared.state().desk.votes.clone()
     }
 
     /// Takes a build through its stages by the clock, which stands still while a vote to hold lasts. A vote to
@@ -168,8 +234,8 @@
                     sleep(step).await;
                     let (held, back) = {
                         let state = shared.state();
-                        let held = state.held.is_some_and(|at| at.elapsed() < VOTE_LIFE);
-                        (held, state.news.phase == "rolling_back")
+                        let held = state.desk.held.is_some_and(|at| at.elapsed() < VOTE_LIFE);
+                        (held, state.desk.news.phase == "rolling_back")
                     };
                     if back {
                         return;
@@ -207,10 +273,10 @@
                 if watches {
                     let (news, count) = {
                         let state = shared.state();
-                        (state.news.value(), state.notes.len())
+                        (state.desk.news.value(), state.notes.len())
                     };
                     seen = Some(count);
-                    let told = json!({"jsonrpc": "2.0", "method": "ROLLOUT", "params": news});
+                    let told = note("ROLLOUT", news);
                     (&*stream).write_all(format!("{told}\n").as_bytes()).await?;
                 }
             }
@@ -228,36 +294,10 @@
 
 /// The answer to a call, and whether it asks to be told.
 fn heed(shared: &Shared, call: &Value) -> (Value, bool) {
-    let id = call["id"].clone();
-    let fault =
-        |message: &str| json!({"jsonrpc": "2.0", "id": id, "error": {"code": -32602, "message": message}});
-    match call["method"].as_str() {
-        Some("Events.Watch") => (json!({"jsonrpc": "2.0", "id": id, "result": true}), true),
-        Some("Rollout.Judge") => {
-            let params = call["params"].clone();
-            // The lock is let go before anything else takes it, this function's own answer among that.
-            let back = {
-                let mut state = shared.state();
-                state.votes.push((Instant::now(), params.clone()));
-                let news = &state.news;
-                if params["image"] != json!(news.build) || params["ring"] != json!(news.stage) {
-                    return (fault("ConditionFailed"), false);
-                }
-                match params["opinion"].as_str() {
-                    Some("pause") => state.held = Some(Instant::now()),
-                    Some("abstain" | "promote") => state.held = None,
-                    Some("abort") => {}
-                    _ => return (fault("ValidationError"), false),
-                }
-                let abort = params["opinion"] == "abort";
-                abort.then(|| News::now(state.news.build, state.news.stage, "rolling_back", 0.0))
-            };
-            if let Some(news) = back {
-                shared.news(news);
-            }
-            let stands = shared.state().news.value();
-            (json!({"jsonrpc": "2.0", "id": id, "result": stands}), false)
-        }
-        _ => (fault("ValidationError"), false),
+    let heeded = shared.state().desk.heed(Instant::now(), call);
+    // The lock is let go before anything else takes it.
+    if let Some(news) = heeded.news {
+        shared.news(news);
     }
+    (heeded.answer, heeded.watches)
 }
--- /dev/null
+++ b/crates/standins/src/registry.rs
@@ -0,0 +1,88 @@
+//! What discovery knows, without sockets: the appliances, each with the version of its last change, and what is told
+//! of them, as the wire has it.
+
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// One appliance of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub id: String,
+    /// By zone of who asks.
+    pub addresses: Vec<SocketAddr>,
+    pub zone: String,
+    pub cell: u64,
+    /// `in_service`, `terminating` or `terminated`.
+    pub state: String,
+    /// Unix time in milliseconds; 0 for long ago.
+    pub started_ms: u64,
+    pub build: u32,
+}
+
+pub struct Registry {
+    /// Of the last change; 1 before any.
+    pub version: u64,
+    entries: BTreeMap<String, (u64, Entry)>, // with the version of its last change
+}
+
+impl Default for Registry {
+    fn default() -> Registry {
+        Registry { version: 1, entries: BTreeMap::new() }
+    }
+}
+
+impl Registry {
+    /// Changes or adds entries. One version for all of them.
+    pub fn tell(&mut self, entries: impl IntoIterator<Item = Entry>) {
+        self.version += 1;
+        for e in entries {
+            self.entries.insert(e.id.clone(), (self.version, e));
+        }
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id).map(|(_, e)| e)
+    }
+
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().map(|(_, e)| e)
+    }
+
+    /// The whole list, as told to zone `from`. What is gone is in no whole list.
+    pub fn whole(&self, from: usize) -> Value {
+        let there = self.entries().filter(|e| e.state != "terminated");
+        let servers: Vec<Value> = there.map(|e| entry(e, from)).collect();
+        json!({"version": self.version, "full": true, "servers": servers})
+    }
+
+    /// What has changed since this version.
+    pub fn since(&self, after: u64, from: usize) -> Value {
+        let newer = self.entries.values().filter(|(v, _)| *v > after);
+        let changed: Vec<Value> = newer.map(|(_, e)| entry(e, from)).collect();
+        json!({"version": self.version, "full": false, "servers": changed})
+    }
+}
+
+fn entry(e: &Entry, from: usize) -> Value {
+    json!({"id": e.id, "addr": e.addresses[from].to_string(), "zone": e.zone, "kind": "m", "cell": e.cell,
+        "state": e.state, "weight": 1.0, "started_ms": e.started_ms, "release": e.build})
+}
+
+/// The version that a watch names and how long it may wait; nothing where the whole list is asked for.
+pub fn watched(path: &str) -> Option<(u64, Duration)> {
+    let query = path.split_once('?').map_or("", |(_, q)| q);
+    let named = |name: &str| -> Option<u64> {
+        let pairs = query.split('&').filter_map(|p| p.split_once('='));
+        pairs.into_iter().find(|p| p.0 == name).and_then(|p| p.1.parse().ok())
+    };
+    named("after").map(|after| (after, Duration::from_millis(named("wait_ms").unwrap_or(0))))
+}
+
+/// The HTTP answer with this body.
+pub fn answer(body: &Value) -> String {
+    let body = body.to_string();
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length:";
+    format!("{head} {}\r\n\r\n{body}", body.len())
+}
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,10 +1,11 @@
 //! Zones with appliances, discovery and a platform, put together.
 
 use crate::appliance::{Appliance, Counted, Link, Seen, Ways};
-use crate::discovery::{Discovery, Entry};
+use crate::discovery::Discovery;
 use crate::ground::locked;
 use crate::platform::{News, Platform};
 use crate::program::{configuration, settings, Lane};
+use crate::registry::Entry;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -73,7 +73,7 @@
 /// One agent's decisions.
 #[derive(Default)]
 pub struct Choice {
-    at: Bounds,
+    pub(crate) at: Bounds,
     rng: Option<Pcg64Mcg>,
     lanes: Vec<LaneView>,
     commands: BTreeMap<u64, Open>,
@@ -563,7 +563,7 @@
     }
 
     pub(crate) fn running(&self) -> impl Iterator<Item = (usize, &Appliance)> {
-        self.fleet.iter().enumerate().filter(|(_, a)| a.standing == Standing::Running)
+        self.fleet.iter().enumerate().filter(|(_, a)| self.at.look(a).standing == Standing::Running)
     }
 
     fn retire(&mut self, i: usize, standing: Standing) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,8 +2,10 @@
 //! appliance, one build, the instance. Plain data; every decision on it is in `choice.rs`.
 
 use crate::types::*;
+use crate::Choice;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -420,6 +422,7 @@
     pub vote_share: f64, // seconds between votes that leave the others theirs
     pub flagged_share: f64,
     pub agents: f64,
+    pub looks: Cell<u64>, // at appliances, by all walks so far
 }
 
 impl LaneView {
@@ -548,6 +551,12 @@
         Duration::from_secs_f64(self.vote_share.clamp(0.0, 3600.0)).min(most)
     }
 
+    /// Counts each look at an appliance: what walks cost is told without a clock.
+    pub fn look<'a>(&self, a: &'a Appliance) -> &'a Appliance {
+        self.looks.set(self.looks.get().wrapping_add(1));
+        a
+    }
+
     /// Where the cap counts a delivery of this lane.
     pub fn slot(&self, lane: usize) -> usize {
         if self.by_lane {
@@ -593,10 +602,18 @@
             vote_share: f64::from(d.agents) / r.votes_per_s.max(0.001),
             flagged_share: r.flagged_share,
             agents: f64::from(d.agents).max(1.0),
+            looks: Cell::default(),
         }
     }
 }
 
+impl Choice {
+    /// Looks at appliances that walks over them have taken so far: a count of work that no clock blurs.
+    pub fn looks(&self) -> u64 {
+        self.at.looks.get()
+    }
+}
+
 impl Delivery {
     pub fn to(appliance: usize, a: &Appliance, sent: Duration) -> Delivery {
         let (build, zone, cell) = (a.build, a.zone, a.cell);
