--- a/crates/lab/src/scale/command.rs
+++ b/crates/lab/src/scale/command.rs
@@ -102,7 +102,9 @@
         let needs = parts.iter().filter(|_| self.only != Some(Only::Sweeps)).map(of).fold(0.0, f64::max);
         if needs > most {
             let [needs, most, free] = [needs, most, free].map(|b| b / 1e9);
-            return Err(format!("it would take about {needs:.1} GB; {most:.1} GB may be taken, {free:.1} GB are free"));
+            return Err(format!(
+                "it would take about {needs:.1} GB; {most:.1} GB may be taken, {free:.1} GB are free"
+            ));
         }
         let sized = self.size() != Size::default();
         if self.only != Some(Only::Rows) && !sized && self.row.is_empty() {
@@ -122,7 +124,12 @@
                 self.rows(&reading, size, quiet, &mut report)?;
             }
         }
-        report.beyond.extend(report.rows.iter().flat_map(|r| r.beyond.iter().map(move |b| format!("{}, {}: {b}", r.reading, r.name))));
+        report.beyond.extend(
+            report
+                .rows
+                .iter()
+                .flat_map(|r| r.beyond.iter().map(move |b| format!("{}, {}: {b}", r.reading, r.name))),
+        );
         if let Some(path) = &self.json {
             let text = serde_json::to_string_pretty(&json!(report)).map_err(|e| e.to_string())?;
             std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -162,7 +169,8 @@
         }
         let services = Size { services: 140, agents: 770, appliances: 7700, ..one };
         // As many lanes as fit, then as many agents; the lines reckon the rest.
-        let lanes = [1600, 160, 11].into_iter().find(|lanes| Size { lanes: *lanes, ..all }.memory(false) <= most);
+        let lanes =
+            [1600, 160, 11].into_iter().find(|lanes| Size { lanes: *lanes, ..all }.memory(false) <= most);
         let mut fits = Size { lanes: lanes.unwrap_or(11), ..all };
         while fits.memory(false) > most && fits.agents > 1 {
             fits.agents -= 1;
@@ -170,7 +178,11 @@
         vec![
             (format!("140 of the {mean}"), services, self.quiet),
             (largest.into(), tenth, self.quiet),
-            (format!("{every}, {} agents, {} lanes", fits.agents, fits.lanes), fits, self.quiet.or(Some(1.0))),
+            (
+                format!("{every}, {} agents, {} lanes", fits.agents, fits.lanes),
+                fits,
+                self.quiet.or(Some(1.0)),
+            ),
         ]
     }
 
@@ -223,7 +235,10 @@
         let of = |name: &str| here.iter().find(|r| r.name == name).map(|r| &r.outcome);
         if let (Some(calm), Some(peak)) = (of("calm"), of("peak")) {
             let kept = peak.kept;
-            println!("kept by one agent at the peak: {} commands, {} appliances, {} builds, {} keys, {} listed", kept[0], kept[1], kept[2], kept[3], kept[4]);
+            println!(
+                "kept by one agent at the peak: {} commands, {} appliances, {} builds, {} keys, {} listed",
+                kept[0], kept[1], kept[2], kept[3], kept[4]
+            );
             for (name, what) in [("restarts", "restart of an appliance"), ("agents", "restart of an agent")] {
                 if let Some(o) = of(name) {
                     let each = (o.discovery_bytes - calm.discovery_bytes) * o.seconds / 12.0;
@@ -231,7 +246,8 @@
                 }
             }
         }
-        let memory = here.iter().map(|r| r.outcome.memory / r.outcome.agents.max(1) as f64).fold(0.0, f64::max);
+        let memory =
+            here.iter().map(|r| r.outcome.memory / r.outcome.agents.max(1) as f64).fold(0.0, f64::max);
         println!("memory, an agent: {:.1} MB (settings shared)\n", memory / 1e6);
         report.beyond.extend(memory_beyond(memory).map(|b| format!("{reading}: {b}")));
         Ok(())
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -12,8 +12,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tulipwall::{Answer, Choice, Command, End, News, Outcome};
-use tulipwall_agent::wire::platform::{self, Line};
 use tulipwall_agent::wire::http;
+use tulipwall_agent::wire::platform::{self, Line};
 use tulipwall_deployment::Site;
 use tulipwall_membership::clock::Clock;
 use tulipwall_membership::list::List;
@@ -171,7 +171,14 @@
 }
 
 impl Hollow {
-    pub fn start(number: usize, size: Size, site: Rc<Site>, clock: Rc<Clock>, seed: u64, now: Duration) -> Hollow {
+    pub fn start(
+        number: usize,
+        size: Size,
+        site: Rc<Site>,
+        clock: Rc<Clock>,
+        seed: u64,
+        now: Duration,
+    ) -> Hollow {
         let seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64;
         let (choice, watchdog) = begin(&site, &size, number, seed, now);
         let mut hollow = Hollow {
@@ -449,7 +456,9 @@
     fn failed(&mut self, now: Duration, call: u64, ended: Ended) {
         let ends = match &self.talk {
             Talk::Idle => false,
-            Talk::Begins { calls, two, .. } => calls.iter().position(|c| *c == call) == Some(usize::from(*two)),
+            Talk::Begins { calls, two, .. } => {
+                calls.iter().position(|c| *c == call) == Some(usize::from(*two))
+            }
             Talk::Watches(watch) => *watch == call,
         };
         if !ends {
--- a/crates/lab/src/scale/meter.rs
+++ b/crates/lab/src/scale/meter.rs
@@ -86,7 +86,8 @@
 
 /// What reading that clock itself takes.
 pub fn clock_cost() -> u64 {
-    let mut all: Vec<u64> = (0..2001).map(|_| cpu()).collect::<Vec<_>>().windows(2).map(|w| w[1] - w[0]).collect();
+    let mut all: Vec<u64> =
+        (0..2001).map(|_| cpu()).collect::<Vec<_>>().windows(2).map(|w| w[1] - w[0]).collect();
     all.sort_unstable();
     all[all.len() / 2]
 }
--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -28,9 +28,19 @@
     /// The machines of these appliances vanish, or are back.
     Down(Vec<usize>, bool),
     /// Discovery lists these so: their state, a new build, a start just now.
-    List { appliances: Vec<usize>, state: &'static str, build: Option<u32>, started: bool },
+    List {
+        appliances: Vec<usize>,
+        state: &'static str,
+        build: Option<u32>,
+        started: bool,
+    },
     /// The platform tells of a build at each service.
-    News { build: u32, stage: usize, phase: &'static str, cap: f64 },
+    News {
+        build: u32,
+        stage: usize,
+        phase: &'static str,
+        cap: f64,
+    },
     /// The regions lose each other, or have each other again.
     Cut(bool),
 }
@@ -109,6 +119,9 @@
     }
 }
 
+/// What agents sent in a step: when, which of them, what.
+type Posts = Vec<(Duration, usize, Post)>;
+
 enum Order {
     Step(Duration, Arc<Vec<Truth>>, Vec<Letter>),
     Count(Duration),
@@ -121,7 +134,13 @@
 }
 
 /// One thread's agents, until the orders end.
-fn work(play: &Play, which: Vec<usize>, known: &[Arc<Vec<u8>>], orders: &Receiver<Order>, done: &Sender<Vec<(Duration, usize, Post)>>) -> Result<Vec<Played>, String> {
+fn work(
+    play: &Play,
+    which: Vec<usize>,
+    known: &[Arc<Vec<u8>>],
+    orders: &Receiver<Order>,
+    done: &Sender<Posts>,
+) -> Result<Vec<Played>, String> {
     let (clock, cost) = (Rc::new(Clock::of_start(START_MS)), clock_cost());
     let shared = Rc::new(play.size.site()?);
     let mut agents: BTreeMap<usize, Hollow> = BTreeMap::new();
@@ -168,9 +187,11 @@
     pub fn run(&self) -> Result<Outcome, String> {
         let size = self.size;
         let zero = Instant::now();
-        let mut discoveries: Vec<Discovery> = (0..size.services).map(|_| Discovery::new(size.budget())).collect();
+        let mut discoveries: Vec<Discovery> =
+            (0..size.services).map(|_| Discovery::new(size.budget())).collect();
         let news = News::now(41, 0, "released", 1.0);
-        let mut platforms: Vec<Platform> = (0..size.services).map(|_| Platform::new(zero, news.clone())).collect();
+        let mut platforms: Vec<Platform> =
+            (0..size.services).map(|_| Platform::new(zero, news.clone())).collect();
         for (s, d) in discoveries.iter_mut().enumerate() {
             d.registry.tell(size.of_service(s).map(|a| size.entry(a)));
         }
@@ -183,7 +204,8 @@
                 let which: Vec<usize> = (0..size.agents).filter(|a| a % cores == core).collect();
                 let ((order, obey), (done, reply), known) = (channel(), channel(), &known);
                 threads.push(scope.spawn(move || work(self, which, known, &obey, &done)));
-                (orders.push(order), replies.push(reply));
+                orders.push(order);
+                replies.push(reply);
             }
             let led = self.lead(&mut discoveries, &mut platforms, &orders, &replies);
             let memory = resident() - before;
@@ -198,9 +220,16 @@
     }
 
     /// The servers' side and the time: all but the agents.
-    fn lead(&self, ds: &mut [Discovery], ps: &mut [Platform], orders: &[Sender<Order>], replies: &[Receiver<Vec<(Duration, usize, Post)>>]) -> Result<(), String> {
+    fn lead(
+        &self,
+        ds: &mut [Discovery],
+        ps: &mut [Platform],
+        orders: &[Sender<Order>],
+        replies: &[Receiver<Posts>],
+    ) -> Result<(), String> {
         let (size, from) = (self.size, BEFORE + self.warm);
-        let mut truth = Arc::new(vec![Truth { down: vec![false; size.appliances], cut: false }; size.services]);
+        let mut truth =
+            Arc::new(vec![Truth { down: vec![false; size.appliances], cut: false }; size.services]);
         let mut events: Vec<_> = self.events.iter().map(|(at, e)| (from + *at, e)).collect();
         events.sort_by_key(|e| e.0);
         let mut events = events.into_iter().peekable();
@@ -219,7 +248,9 @@
             let later = letters.partition_point(|l| l.0 < until);
             letters.drain(..later).for_each(|l| mail[l.1 % orders.len()].push(l));
             for (order, mail) in orders.iter().zip(mail) {
-                order.send(Order::Step(until, truth.clone(), mail)).map_err(|_| "a thread of agents ended early")?;
+                order
+                    .send(Order::Step(until, truth.clone(), mail))
+                    .map_err(|_| "a thread of agents ended early")?;
             }
             let mut posts = Vec::new();
             for reply in replies {
@@ -248,7 +279,15 @@
         Ok(())
     }
 
-    fn happens(&self, now: Duration, event: &Happens, truth: &mut Arc<Vec<Truth>>, ds: &mut [Discovery], ps: &mut [Platform], letters: &mut Vec<Letter>) {
+    fn happens(
+        &self,
+        now: Duration,
+        event: &Happens,
+        truth: &mut Arc<Vec<Truth>>,
+        ds: &mut [Discovery],
+        ps: &mut [Platform],
+        letters: &mut Vec<Letter>,
+    ) {
         let size = self.size;
         let agents = |out: &mut Vec<Letter>, which: &[usize], mail: &dyn Fn(usize) -> Mail| {
             out.extend(which.iter().map(|a| (now, *a, mail(size.service_of(*a)))));
@@ -314,7 +353,8 @@
             }
             let c = &p.counts;
             (o.commands, o.satisfied) = (o.commands + c.commands, o.satisfied + c.satisfied);
-            (o.deliveries, o.looks, o.surveys) = (o.deliveries + c.deliveries, o.looks + c.looks, o.surveys + c.surveys);
+            (o.deliveries, o.looks, o.surveys) =
+                (o.deliveries + c.deliveries, o.looks + c.looks, o.surveys + c.surveys);
             o.kept.iter_mut().zip(c.kept).for_each(|(most, n)| *most = n.max(*most));
             for s in p.meter.seconds.iter().take(whole) {
                 (ns, control) = (ns + s.ns, control + s.control_ns);
@@ -330,7 +370,8 @@
         let reloads = self.events.iter().map(|e| if let Happens::Reload(who) = &e.1 { who.len() } else { 0 });
         let through = played.iter().map(|p| p.counts.renewed.len()).sum::<usize>();
         o.renewed_late += reloads.sum::<usize>().saturating_sub(through) as u64;
-        (o.core, o.control_core) = (ns as f64 / 1e9 / seconds / agents, control as f64 / 1e9 / seconds / agents);
+        (o.core, o.control_core) =
+            (ns as f64 / 1e9 / seconds / agents, control as f64 / 1e9 / seconds / agents);
         o.bytes = o.traffic.values().map(|s| s.total as f64).sum::<f64>() / seconds / agents;
         o.heard_mean = lags.iter().flatten().sum::<f64>() / lags.len().max(1) as f64;
         o.heard_most = lags.iter().flatten().copied().fold(0.0, f64::max);
@@ -354,8 +395,10 @@
     fn heard(&self, p: &Played, d: &Discovery) -> Vec<Option<f64>> {
         let (from, end) = (BEFORE + self.warm, BEFORE + self.warm + self.span);
         let away = self.size.region(self.size.zone(p.number)) == 1;
-        let back = self.events.iter().find(|e| away && matches!(e.1, Happens::Cut(false))).map(|e| from + e.0);
-        let told = d.changed.iter().filter(|c| c.0 >= from && c.0.max(back.unwrap_or_default()) + TOLD_MOST <= end);
+        let back =
+            self.events.iter().find(|e| away && matches!(e.1, Happens::Cut(false))).map(|e| from + e.0);
+        let told =
+            d.changed.iter().filter(|c| c.0 >= from && c.0.max(back.unwrap_or_default()) + TOLD_MOST <= end);
         told.map(|(at, version)| {
             let learnt = p.counts.learnt.iter().find(|l| l.1 >= *version && l.0 >= *at);
             learnt.map(|l| l.0.saturating_sub(back.map_or(*at, |back| back.max(*at))).as_secs_f64())
--- a/crates/lab/src/scale/reckon.rs
+++ b/crates/lab/src/scale/reckon.rs
@@ -65,7 +65,12 @@
         Plane::of(figure, [a?, l?, f?, t?])
     };
     let runs = ["appliances", "lanes", "lanes of many appliances", "tenants"];
-    let held = ["memory by appliances", "memory by lanes", "memory by lanes of many appliances", "memory by tenants"];
+    let held = [
+        "memory by appliances",
+        "memory by lanes",
+        "memory by lanes of many appliances",
+        "memory by tenants",
+    ];
     let memory = plane("memory, bytes an agent", held);
     let (decision, survey) = (plane("decisions, us a command", runs), plane("survey, us each", runs));
     let name = named("tenants").and_then(|s| s.curve("tenant's name, us a command"));
@@ -102,9 +107,13 @@
     }
 
     pub fn beyond(&self) -> Vec<String> {
-        let all = [("memory, MB", self.memory / 1e6, MEMORY_MOST / 1e6), ("core, percent", self.core * 100.0, CORE_MOST * 100.0)];
+        let all = [
+            ("memory, MB", self.memory / 1e6, MEMORY_MOST / 1e6),
+            ("core, percent", self.core * 100.0, CORE_MOST * 100.0),
+        ];
         let over = all.into_iter().filter(|(_, is, most)| is > most);
-        over.map(|(what, is, most)| format!("{}, reckoned: {what} {is:.2} beyond {most:.1}", self.reading)).collect()
+        over.map(|(what, is, most)| format!("{}, reckoned: {what} {is:.2} beyond {most:.1}", self.reading))
+            .collect()
     }
 }
 
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -43,14 +43,24 @@
     pub fn table(&self) -> String {
         let Some(first) = self.curves.first() else { return String::new() };
         let counts: Vec<String> = first.points.iter().map(|p| format!("{}", p.0)).collect();
-        let mut text = format!("{} (over {})\n\n| figure | {} | slope | intercept | residual | power |\n", self.name, self.over, counts.join(" | "));
+        let mut text = format!(
+            "{} (over {})\n\n| figure | {} | slope | intercept | residual | power |\n",
+            self.name,
+            self.over,
+            counts.join(" | ")
+        );
         let _ = writeln!(text, "|{}", " --- |".repeat(counts.len() + 5));
         for c in &self.curves {
             let points: Vec<String> = c.points.iter().map(|p| shown(p.1)).collect();
             let l = c.line.unwrap_or_default();
             let (slope, intercept) = (shown(l.slope), shown(l.intercept));
             let (off, power) = (l.residual * 100.0, l.power);
-            let _ = writeln!(text, "| {} | {} | {slope} | {intercept} | {off:.1}% | {power:.2} |", c.figure, points.join(" | "));
+            let _ = writeln!(
+                text,
+                "| {} | {} | {slope} | {intercept} | {off:.1}% | {power:.2} |",
+                c.figure,
+                points.join(" | ")
+            );
         }
         text
     }
@@ -125,7 +135,11 @@
             shown(o.discovery_bytes_worst),
             o.heard_late,
             o.heard_most,
-            if o.renewed_late > 0 { format!("{:.1}, {} late", o.renewed_most, o.renewed_late) } else { format!("{:.1}", o.renewed_most) },
+            if o.renewed_late > 0 {
+                format!("{:.1}, {} late", o.renewed_most, o.renewed_late)
+            } else {
+                format!("{:.1}", o.renewed_most)
+            },
         );
     }
     text
@@ -133,7 +147,8 @@
 
 /// The memory of one agent against the letter.
 pub fn memory_beyond(bytes: f64) -> Option<String> {
-    (bytes > MEMORY_MOST).then(|| format!("memory of an agent {:.0} MB beyond {:.0}", bytes / 1e6, MEMORY_MOST / 1e6))
+    (bytes > MEMORY_MOST)
+        .then(|| format!("memory of an agent {:.0} MB beyond {:.0}", bytes / 1e6, MEMORY_MOST / 1e6))
 }
 
 /// All that one call measured.
@@ -151,7 +166,8 @@
     /// # Errors
     /// What the drawing says.
     pub fn plot(&self) -> Result<String, String> {
-        let all: Vec<(&Swept, &Curve)> = self.sweeps.iter().flat_map(|s| s.curves.iter().map(move |c| (s, c))).collect();
+        let all: Vec<(&Swept, &Curve)> =
+            self.sweeps.iter().flat_map(|s| s.curves.iter().map(move |c| (s, c))).collect();
         let (across, high) = (3, all.len().div_ceil(3).max(1));
         let mut svg = String::new();
         {
@@ -159,7 +175,8 @@
             let draw = || -> Result<(), DrawingAreaErrorKind<std::io::Error>> {
                 area.fill(&WHITE)?;
                 for (panel, (s, c)) in area.split_evenly((high, across)).iter().zip(&all) {
-                    let most = |of: fn(&(f64, f64)) -> f64| c.points.iter().map(of).fold(1e-9, f64::max) * 1.05;
+                    let most =
+                        |of: fn(&(f64, f64)) -> f64| c.points.iter().map(of).fold(1e-9, f64::max) * 1.05;
                     let (right, top) = (most(|p| p.0), most(|p| p.1));
                     let mut chart = ChartBuilder::on(panel)
                         .caption(format!("{}: {}", s.name, c.figure), ("sans-serif", 12))
@@ -167,7 +184,13 @@
                         .x_label_area_size(28)
                         .y_label_area_size(60)
                         .build_cartesian_2d(0.0..right, 0.0..top)?;
-                    chart.configure_mesh().x_desc(s.over).x_labels(5).y_labels(5).light_line_style(WHITE).draw()?;
+                    chart
+                        .configure_mesh()
+                        .x_desc(s.over)
+                        .x_labels(5)
+                        .y_labels(5)
+                        .light_line_style(WHITE)
+                        .draw()?;
                     chart.draw_series(c.points.iter().map(|p| Circle::new(*p, 3, BLACK.filled())))?;
                     if let Some(l) = c.line {
                         let ends = [(0.0, l.at(0.0).max(0.0)), (right, l.at(right).clamp(0.0, top))];
--- a/crates/lab/src/scale/rows.rs
+++ b/crates/lab/src/scale/rows.rs
@@ -64,7 +64,8 @@
 fn lost(which: Vec<usize>, at: Duration, back: Duration) -> Vec<(Duration, Happens)> {
     let turns = ((NOTICE[1] - NOTICE[0]).as_millis() / TURN.as_millis()).max(1) as usize;
     let each = which.len().div_ceil(turns).max(1);
-    let mut events = vec![(at, Happens::Down(which.clone(), true)), (back, Happens::Down(which.clone(), false))];
+    let mut events =
+        vec![(at, Happens::Down(which.clone(), true)), (back, Happens::Down(which.clone(), false))];
     for (n, some) in which.chunks(each).enumerate() {
         events.push((at + NOTICE[0] + TURN * n as u32, list(some.to_vec(), "terminated", None, false)));
         events.push((back + TURN * n as u32, list(some.to_vec(), "in_service", None, true)));
@@ -79,7 +80,8 @@
     let agents: Vec<usize> = (0..size.agents).collect();
     let of_zone = |zone: usize| (0..size.appliances).filter(move |a| size.zone(*a) == zone);
     let zone_agents: Vec<usize> = agents.iter().copied().filter(|a| size.zone(*a) == 0).collect();
-    let row = |name, what, span, events| Row { name, what, span: secs(span), size: Size { rate, ..size }, events };
+    let row =
+        |name, what, span, events| Row { name, what, span: secs(span), size: Size { rate, ..size }, events };
     // A service is one of 140, or the whole of a smaller installation.
     let service: Vec<usize> = match size.services {
         1 if size.appliances > 1000 => (0..size.appliances / 140).collect(),
@@ -116,7 +118,12 @@
         row("agents", "12 agents restart, one each 2 s", 32, few),
         row("zone-agents", "all agents of a zone restart within a minute", 70, minute),
         row("machine", "one machine vanishes and is back after 19 s", 30, lost(machine, secs(1), secs(20))),
-        row("rack", "40 machines of a zone vanish and are back after 19 s", 35, lost(rack, secs(1), secs(20))),
+        row(
+            "rack",
+            "40 machines of a zone vanish and are back after 19 s",
+            35,
+            lost(rack, secs(1), secs(20)),
+        ),
         row("zone", "a zone vanishes and is back after 19 s", 40, zone),
         row("cut", "the regions lose each other for 30 s", 50, cut),
     ]
@@ -150,7 +157,8 @@
 
 pub const DECISIONS: Figure = ("decisions, us a command", |o| each_us(o, "decisions", o.commands));
 pub const LOOKS: Figure = ("looks at appliances a command", |o| o.looks as f64 / o.commands.max(1) as f64);
-pub const LOOKS_SURVEY: Figure = ("looks at appliances a survey", |o| o.looks as f64 / o.surveys.max(1) as f64);
+pub const LOOKS_SURVEY: Figure =
+    ("looks at appliances a survey", |o| o.looks as f64 / o.surveys.max(1) as f64);
 pub const SURVEY: Figure = ("survey, us each", |o| each_us(o, "surveys", o.surveys));
 pub const TENANTS: Figure = ("tenant's name, us a command", |o| each_us(o, "tenants", o.commands));
 pub const READING: Figure = ("reading, ms a list", |o| each_us(o, "reading", o.agents as u64) / 1000.0);
@@ -158,8 +166,7 @@
 pub const LISTING: Figure = ("Choice::list, ms a list", |o| each_us(o, "listing", o.agents as u64) / 1000.0);
 pub const WHOLE: Figure =
     ("whole list, bytes", |o| bytes(o, "whole lists") / count(o, "whole lists").max(1.0));
-pub const CHANGES: Figure =
-    ("changes, bytes an agent", |o| bytes(o, "changes") / o.agents.max(1) as f64);
+pub const CHANGES: Figure = ("changes, bytes an agent", |o| bytes(o, "changes") / o.agents.max(1) as f64);
 pub const MEMORY: Figure = ("memory, bytes an agent", |o| o.memory / o.agents.max(1) as f64);
 pub const BYTES: Figure = ("bytes a second an agent", |o| o.bytes);
 pub const CALLS: Figure = ("discovery, calls a second in sum", |o| o.calls);
@@ -185,7 +192,12 @@
     let all = |size: &Size| (0..size.agents).collect::<Vec<_>>();
     let reload = |size: &Size| vec![(secs(1), Happens::Reload(all(size)))];
     let restart = |size: &Size| vec![(secs(1), Happens::Restart(all(size)))];
-    let sweep = |name, key, counts: &[usize], of: &dyn Fn(usize) -> Size, events: &dyn Fn(&Size) -> Vec<(Duration, Happens)>, figures: &[Figure]| {
+    let sweep = |name,
+                 key,
+                 counts: &[usize],
+                 of: &dyn Fn(usize) -> Size,
+                 events: &dyn Fn(&Size) -> Vec<(Duration, Happens)>,
+                 figures: &[Figure]| {
         let plays = counts.iter().map(|n| (*n as f64, play(of(*n), events(&of(*n))))).collect();
         Sweep { name, key, plays, figures: figures.to_vec(), apart: false }
     };
@@ -202,24 +214,56 @@
     let lists = [READING, TAKING, LISTING];
     let mut sweeps = vec![
         sweep("appliances", "appliances", &appliances, &with, &none, &commands),
-        sweep("surveys alone, by appliances", "appliances", &appliances, &|n| Size { rate: 0.0, ..with(n) }, &none, &[LOOKS_SURVEY, SURVEY]),
-        sweep("a list that is known, by appliances", "appliances", &appliances, &with, &reload, &[&lists[..], &[WHOLE]].concat()),
+        sweep(
+            "surveys alone, by appliances",
+            "appliances",
+            &appliances,
+            &|n| Size { rate: 0.0, ..with(n) },
+            &none,
+            &[LOOKS_SURVEY, SURVEY],
+        ),
+        sweep(
+            "a list that is known, by appliances",
+            "appliances",
+            &appliances,
+            &with,
+            &reload,
+            &[&lists[..], &[WHOLE]].concat(),
+        ),
         sweep("a start's first list, by appliances", "appliances", &appliances, &with, &restart, &lists),
         sweep("lanes", "lanes", &lanes, &|lanes| Size { lanes, ..base }, &none, &commands),
-        sweep("lanes of many appliances", "lanes", &few_lanes, &|lanes| Size { lanes, appliances: far, ..base }, &none, &commands),
-        sweep("tenants", "tenants", &tenants, &|tenants| Size { tenants, ..base }, &none, &[TENANTS, DECISIONS, SURVEY, CORE, CONTROL]),
+        sweep(
+            "lanes of many appliances",
+            "lanes",
+            &few_lanes,
+            &|lanes| Size { lanes, appliances: far, ..base },
+            &none,
+            &commands,
+        ),
+        sweep(
+            "tenants",
+            "tenants",
+            &tenants,
+            &|tenants| Size { tenants, ..base },
+            &none,
+            &[TENANTS, DECISIONS, SURVEY, CORE, CONTROL],
+        ),
         sweep("load", "commands a second", &rates, &|n| Size { rate: n as f64, ..base }, &none, &commands),
     ];
     let gentle = Size { rate: 10.0, ..base };
     let sums = [BYTES, CALLS, TOLD, PLATFORM];
     let changes = |size: &Size| roll(&size.of_service(0).take(5).collect::<Vec<_>>(), secs(1), secs(5), None);
     let calm = |s: &mut Sweep| s.plays.iter_mut().for_each(|p| (p.1.warm, p.1.span) = (secs(5), secs(20)));
-    for (name, events) in [("agents of one list, calm", &none as &dyn Fn(&Size) -> Vec<_>), ("agents of one list, 5 restarts", &changes)] {
+    for (name, events) in [
+        ("agents of one list, calm", &none as &dyn Fn(&Size) -> Vec<_>),
+        ("agents of one list, 5 restarts", &changes),
+    ] {
         let mut s = sweep(name, "agents", &agents, &|agents| Size { agents, ..gentle }, events, &sums);
         calm(&mut s);
         sweeps.push(s);
     }
-    let each = |services: usize| Size { services, agents: services * 11 / 2, appliances: services * 55, ..gentle };
+    let each =
+        |services: usize| Size { services, agents: services * 11 / 2, appliances: services * 55, ..gentle };
     let mut s = sweep("services", "services", &services, &each, &none, &sums);
     calm(&mut s);
     sweeps.push(s);
@@ -231,7 +275,11 @@
     sweeps.extend([
         memory("memory by appliances", "appliances", &appliances, &with),
         memory("memory by lanes", "lanes", &lanes, &|lanes| Size { lanes, ..base }),
-        memory("memory by lanes of many appliances", "lanes", &few_lanes, &|lanes| Size { lanes, appliances: far, ..base }),
+        memory("memory by lanes of many appliances", "lanes", &few_lanes, &|lanes| Size {
+            lanes,
+            appliances: far,
+            ..base
+        }),
         memory("memory by tenants", "tenants", &tenants, &|tenants| Size { tenants, ..base }),
     ]);
     sweeps
--- a/crates/lab/src/scale/servers.rs
+++ b/crates/lab/src/scale/servers.rs
@@ -40,7 +40,7 @@
     /// When each version came about.
     pub changed: Vec<(Duration, u64)>,
     pub served: Served,
-    pub from: Duration, // nothing counts before
+    pub from: Duration,                              // nothing counts before
     parked: BTreeMap<(usize, u64), (u64, Duration)>, // by agent and call: the version it knows, and how long it waits
     bodies: HashMap<Option<u64>, Arc<Vec<u8>>>,
     budget: f64,
@@ -206,7 +206,14 @@
 }
 
 /// Passes on what an agent sent.
-pub fn pass(now: Duration, agent: usize, post: Post, d: &mut Discovery, p: &mut Platform, out: &mut Vec<Letter>) {
+pub fn pass(
+    now: Duration,
+    agent: usize,
+    post: Post,
+    d: &mut Discovery,
+    p: &mut Platform,
+    out: &mut Vec<Letter>,
+) {
     match post {
         Post::Ask { call, path } => d.asked(now, agent, call, &path, out),
         Post::Drop { call } => d.dropped(agent, call),
--- a/crates/lab/src/scale/size.rs
+++ b/crates/lab/src/scale/size.rs
@@ -33,7 +33,16 @@
 impl Default for Size {
     /// The mean one of 140 services, each with agents of its own, at the operators' peak.
     fn default() -> Size {
-        Size { services: 1, agents: 6, appliances: 55, lanes: 11, tenants: 400, zones: 7, rate: 143.0, calls: 0.5 }
+        Size {
+            services: 1,
+            agents: 6,
+            appliances: 55,
+            lanes: 11,
+            tenants: 400,
+            zones: 7,
+            rate: 143.0,
+            calls: 0.5,
+        }
     }
 }
 
@@ -117,7 +126,8 @@
     pub fn memory(&self, own: bool) -> f64 {
         let (agents, lanes, tenants) = (self.agents as f64, self.lanes as f64, self.tenants as f64);
         let listed = self.appliances as f64 / self.services.max(1) as f64;
-        let each = 60e3 + listed * (EACH_LISTED + EACH_COUNT * lanes) + lanes * EACH_LANE + tenants * EACH_TENANT;
+        let each =
+            60e3 + listed * (EACH_LISTED + EACH_COUNT * lanes) + lanes * EACH_LANE + tenants * EACH_TENANT;
         let site = tenants * SITE_TENANT + lanes * SITE_LANE;
         let told = self.appliances as f64 * EACH_TOLD;
         let work = listed * EACH_READ * WORKERS; // a whole list while it is read
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -35,7 +35,8 @@
 /// All that is counted and not timed.
 fn counts(o: &Outcome) -> String {
     let load = (o.commands, o.satisfied, o.deliveries, o.looks, o.surveys, o.kept);
-    let wire = (&o.traffic, o.calls, o.refused, o.discovery_bytes, o.platform_bytes, o.heard_most, o.renewed_most);
+    let wire =
+        (&o.traffic, o.calls, o.refused, o.discovery_bytes, o.platform_bytes, o.heard_most, o.renewed_most);
     format!("{load:?} {wire:?}")
 }
 
@@ -155,7 +156,9 @@
     let form = ["--full", "--quiet", "5", "--agents", "3"];
     let list = lab(&[&form[..], &["--appliances", "200", "--row", "configuration"]].concat());
     assert_eq!(list.status.code(), Some(4), "a whole list is more than 3 kB in a second");
-    assert!(String::from_utf8_lossy(&list.stdout).contains("- as told, configuration: bytes in the worst second"));
+    assert!(
+        String::from_utf8_lossy(&list.stdout).contains("- as told, configuration: bytes in the worst second")
+    );
     assert_eq!(lab(&[&form[..], &["--row", "calm"]].concat()).status.code(), Some(0));
     assert_eq!(lab(&["--row", "no-such"]).status.code(), Some(1));
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -82,8 +82,7 @@
 
     pub fn heed(&mut self, now: Instant, call: &Value) -> Heeded {
         let id = call["id"].clone();
-        let fault =
-            |message: &str| json!({"jsonrpc": "2.0", "id": id, "error": {"code": -32602, "message": message}});
+        let fault = |message: &str| json!({"jsonrpc": "2.0", "id": id, "error": {"code": -32602, "message": message}});
         let other = |answer| Heeded { answer, watches: false, news: None };
         match call["method"].as_str() {
             Some("Events.Watch") => {
@@ -102,7 +101,10 @@
                     _ => return other(fault("ValidationError")),
                 }
                 let abort = params["opinion"] == "abort";
-                let back = || News { since: now, ..News::now(self.news.build, self.news.stage, "rolling_back", 0.0) };
+                let back = || News {
+                    since: now,
+                    ..News::now(self.news.build, self.news.stage, "rolling_back", 0.0)
+                };
                 let news = abort.then(back);
                 self.news = news.clone().unwrap_or(self.news.clone());
                 let stands = self.news.value_at(now);
