--- a/src/choice.rs
+++ b/src/choice.rs
@@ -563,7 +563,7 @@
     }
 
     pub(crate) fn running(&self) -> impl Iterator<Item = (usize, &Appliance)> {
-        self.fleet.iter().enumerate().filter(|(_, a)| self.at.look(a).standing == Standing::Running)
+        self.at.walk(&self.fleet).iter().enumerate().filter(|(_, a)| a.standing == Standing::Running)
     }
 
     fn retire(&mut self, i: usize, standing: Standing) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -551,10 +551,11 @@
         Duration::from_secs_f64(self.vote_share.clamp(0.0, 3600.0)).min(most)
     }
 
-    /// Counts each look at an appliance: what walks cost is told without a clock.
-    pub fn look<'a>(&self, a: &'a Appliance) -> &'a Appliance {
-        self.looks.set(self.looks.get().wrapping_add(1));
-        a
+    /// Counts the appliances that a walk has before it: what walks cost is told without a clock. One that ends early
+    /// counts as whole.
+    pub fn walk<'a>(&self, fleet: &'a [Appliance]) -> &'a [Appliance] {
+        self.looks.set(self.looks.get().wrapping_add(fleet.len() as u64));
+        fleet
     }
 
     /// Where the cap counts a delivery of this lane.
@@ -608,7 +609,7 @@
 }
 
 impl Choice {
-    /// Looks at appliances that walks over them have taken so far: a count of work that no clock blurs.
+    /// Appliances that all walks over them have had before them so far: a count of work that no clock blurs.
     pub fn looks(&self) -> u64 {
         self.at.looks.get()
     }
