--- a/crates/lab/src/scale/command.rs
+++ b/crates/lab/src/scale/command.rs
@@ -53,34 +53,44 @@
     /// Points and lines, as SVG.
     #[arg(long, value_name = "FILE")]
     plot: Option<PathBuf>,
-    #[arg(long)]
+    #[arg(long, value_parser = count)]
     services: Option<usize>,
     /// All agents together.
-    #[arg(long)]
+    #[arg(long, value_parser = count)]
     agents: Option<usize>,
     /// All appliances together.
-    #[arg(long)]
+    #[arg(long, value_parser = count)]
     appliances: Option<usize>,
     /// Of one service.
-    #[arg(long)]
+    #[arg(long, value_parser = count)]
     lanes: Option<usize>,
     /// Of one service.
-    #[arg(long)]
+    #[arg(long, value_parser = count)]
     tenants: Option<usize>,
     /// Commands a second for each agent, at the peak.
-    #[arg(long)]
+    #[arg(long, value_parser = rate)]
     rate: Option<f64>,
     /// Calls a second that discovery answers, for each agent.
-    #[arg(long)]
+    #[arg(long, value_parser = rate)]
     calls: Option<f64>,
     /// Commands a second for each agent in all rows but the peak and the calm one; the share of a core is reckoned at the peak's.
-    #[arg(long)]
+    #[arg(long, value_parser = rate)]
     quiet: Option<f64>,
     /// One point of a sweep, in a process of its own.
     #[arg(long, hide = true)]
     point: Option<String>,
 }
 
+fn count(text: &str) -> Result<usize, String> {
+    let count = text.parse::<usize>().ok().filter(|n| (1..=1_000_000).contains(n));
+    count.ok_or_else(|| "a number from 1 to 1000000 is wanted".into())
+}
+
+fn rate(text: &str) -> Result<f64, String> {
+    let rate = text.parse::<f64>().ok().filter(|r| (0.01..=1e5).contains(r));
+    rate.ok_or_else(|| "a rate a second from 0.01 to 100000 is wanted".into())
+}
+
 /// Bytes of memory that this machine has.
 fn machine() -> f64 {
     let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
@@ -108,8 +118,7 @@
                 "it would take about {needs:.1} GB; {most:.1} GB may be taken, {free:.1} GB are free"
             ));
         }
-        let sized = self.size() != Size::default();
-        if self.only != Some(Only::Rows) && !sized && self.row.is_empty() {
+        if self.only != Some(Only::Rows) && !self.sized() && self.row.is_empty() {
             for sweep in sweeps(self.full, self.seed) {
                 let swept = Swept::of(&sweep, &self.swept(&sweep)?);
                 println!("{}", swept.table());
@@ -144,13 +153,18 @@
         Ok(if self.full { report.beyond } else { Vec::new() })
     }
 
+    fn sized(&self) -> bool {
+        let counts = [self.services, self.agents, self.appliances, self.lanes, self.tenants];
+        counts.iter().any(Option::is_some) || self.rate.is_some() || self.calls.is_some()
+    }
+
     fn size(&self) -> Size {
         let d = Size::default();
         Size {
-            services: self.services.unwrap_or(d.services).max(1),
-            agents: self.agents.unwrap_or(d.agents).max(1),
-            appliances: self.appliances.unwrap_or(d.appliances).max(1),
-            lanes: self.lanes.unwrap_or(d.lanes).max(1),
+            services: self.services.unwrap_or(d.services),
+            agents: self.agents.unwrap_or(d.agents),
+            appliances: self.appliances.unwrap_or(d.appliances),
+            lanes: self.lanes.unwrap_or(d.lanes),
             tenants: self.tenants.unwrap_or(d.tenants),
             rate: self.rate.unwrap_or(d.rate),
             calls: self.calls.unwrap_or(d.calls),
@@ -161,7 +175,7 @@
     /// The installations whose rows are played, by name, and the load of all rows but the peak.
     fn parts(&self, most: f64) -> Vec<(String, Size, Option<f64>)> {
         let size = self.size();
-        if size != Size::default() {
+        if self.sized() {
             return vec![("as told".into(), size, self.quiet)];
         }
         let [(mean, one), (largest, tenth), (every, all)] = readings();
