--- a/crates/lab/src/scale/command.rs
+++ b/crates/lab/src/scale/command.rs
@@ -40,6 +40,9 @@
     /// A row by its name; several may be given.
     #[arg(long, value_name = "NAME")]
     row: Vec<String>,
+    /// Only the slopes of this sweep, by its name; several may be given.
+    #[arg(long, value_name = "NAME")]
+    sweep: Vec<String>,
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Threads of agents.
@@ -111,7 +114,11 @@
         let mut report = Report { seed: self.seed, ..Report::default() };
         let parts = self.parts(most);
         let of = |(_, size, _): &(String, Size, Option<f64>)| size.memory(false);
-        let needs = parts.iter().filter(|_| self.only != Some(Only::Sweeps)).map(of).fold(0.0, f64::max);
+        let needs = parts
+            .iter()
+            .filter(|_| self.only != Some(Only::Sweeps) && self.sweep.is_empty())
+            .map(of)
+            .fold(0.0, f64::max);
         if needs > most {
             let [needs, most, free] = [needs, most, free].map(|b| b / 1e9);
             return Err(format!(
@@ -119,18 +126,26 @@
             ));
         }
         if self.only != Some(Only::Rows) && !self.sized() && self.row.is_empty() {
-            for sweep in sweeps(self.full, self.seed) {
+            let all = sweeps(self.full, self.seed);
+            if let Some(name) = self.sweep.iter().find(|name| !all.iter().any(|s| s.name == *name)) {
+                let known: Vec<&str> = all.iter().map(|s| s.name).collect();
+                return Err(format!("no sweep '{name}'; known are {}", known.join("; ")));
+            }
+            let named = |s: &Sweep| self.sweep.is_empty() || self.sweep.iter().any(|name| name == s.name);
+            for sweep in all.into_iter().filter(named) {
                 let swept = Swept::of(&sweep, &self.swept(&sweep)?);
                 println!("{}", swept.table());
                 report.sweeps.push(swept);
             }
             let reckoned = reckon(&report.sweeps);
-            println!("{HEAD}");
-            reckoned.iter().for_each(|r| println!("{}", r.line()));
-            println!();
+            if !reckoned.is_empty() {
+                println!("{HEAD}");
+                reckoned.iter().for_each(|r| println!("{}", r.line()));
+                println!();
+            }
             report.beyond.extend(reckoned.iter().flat_map(|r| r.beyond()));
         }
-        if self.only != Some(Only::Sweeps) {
+        if self.only != Some(Only::Sweeps) && self.sweep.is_empty() {
             for (reading, size, quiet) in parts {
                 self.rows(&reading, size, quiet, &mut report)?;
             }
