--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -56,6 +56,8 @@
     Ask {
         call: u64,
         path: String,
+        /// It begins a watch, on a connection of its own; otherwise it goes on with one.
+        begins: bool,
     },
     /// The connection of this call is closed.
     Drop {
@@ -418,11 +420,11 @@
 
     // Discovery, as `crates/agent/src/discovery.rs` talks to it where calls are paid for.
 
-    fn ask(&mut self, now: Duration, path: &str, time: Duration) -> u64 {
+    fn ask(&mut self, now: Duration, path: &str, time: Duration, begins: bool) -> u64 {
         self.calls += 1;
         let call = self.calls;
         self.meter.passed(now, Kind::Asked, http::get("10.200.0.1:8500", path).len());
-        self.posts.push((now, self.number, Post::Ask { call, path: path.to_owned() }));
+        self.posts.push((now, self.number, Post::Ask { call, path: path.to_owned(), begins }));
         self.push(now + time, What::Late(call));
         call
     }
@@ -435,7 +437,7 @@
             false => listing::LIST.to_owned(),
         };
         let time = wait + self.watchdog.within(true);
-        let call = self.ask(now, &path, time);
+        let call = self.ask(now, &path, time, true);
         let second = self.watchdog.second();
         second.into_iter().for_each(|gap| self.push(now + gap, What::Second(call)));
         self.talk = Talk::Begins { calls: vec![call], two: second.is_some(), path, time };
@@ -445,7 +447,7 @@
         let Talk::Begins { calls, path, time, .. } = &self.talk else { return };
         if calls.first() == Some(&first) {
             let (path, time) = (path.clone(), *time);
-            let call = self.ask(now, &path, time);
+            let call = self.ask(now, &path, time, true);
             if let Talk::Begins { calls, .. } = &mut self.talk {
                 calls.push(call);
             }
@@ -508,7 +510,7 @@
         self.renewed(now, 0);
         let wait = self.watchdog.wait(false);
         let path = listing::watch(self.list.version, wait);
-        let next = self.ask(now, &path, wait + self.watchdog.late());
+        let next = self.ask(now, &path, wait + self.watchdog.late(), false);
         self.talk = Talk::Watches(next);
     }
 
--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -188,7 +188,7 @@
         let size = self.size;
         let zero = Instant::now();
         let mut discoveries: Vec<Discovery> =
-            (0..size.services).map(|_| Discovery::new(size.budget())).collect();
+            (0..size.services).map(|_| Discovery::new(size.budget(), size.every_call)).collect();
         let news = News::now(41, 0, "released", 1.0);
         let mut platforms: Vec<Platform> =
             (0..size.services).map(|_| Platform::new(zero, news.clone())).collect();
--- a/crates/lab/src/scale/size.rs
+++ b/crates/lab/src/scale/size.rs
@@ -26,8 +26,10 @@
     pub zones: usize,
     /// Commands a second for each agent.
     pub rate: f64,
-    /// Calls a second that discovery answers, for each of its agents.
+    /// Calls a second that discovery answers, for each of its agents: those that begin a watch.
     pub calls: f64,
+    /// Calls that go on with a watch count, too.
+    pub every_call: bool,
 }
 
 impl Default for Size {
@@ -42,6 +44,7 @@
             zones: 7,
             rate: 143.0,
             calls: 0.5,
+            every_call: false,
         }
     }
 }
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -134,6 +134,27 @@
     assert!((36.0..=44.0).contains(&line.slope), "{line:?}");
 }
 
+#[test]
+fn discovery_refuses_beyond_its_rate_and_what_goes_on_with_a_watch_is_free_unless_told_otherwise() {
+    // Each of 30 agents asks 20 times a second while lists change as often; the rate is 15.
+    let size = Size { agents: 30, rate: 1.0, ..Size::default() };
+    let change = |n: usize| {
+        let list =
+            Happens::List { appliances: vec![n % 55], state: "in_service", build: None, started: true };
+        (secs(1) + Duration::from_millis(50) * n as u32, list)
+    };
+    let changes: Vec<_> = (0..40).map(change).collect();
+    let free = run(size, secs(12), changes.clone());
+    assert_eq!((free.refused, free.heard_late), (0, 0));
+    let paid = run(Size { every_call: true, ..size }, secs(12), changes);
+    assert!(paid.refused > 30, "{} refused", paid.refused);
+    assert!(
+        paid.calls_worst <= 30.0,
+        "{} answered in a second, with what was saved before",
+        paid.calls_worst
+    );
+}
+
 fn lab(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_tulipwall-lab")).arg("scale").args(arguments).output().unwrap()
 }
