--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -1,7 +1,8 @@
 //! Discovery: the list over HTTP, whole or as a watch, told to each zone with the addresses that are its own.
 
 use crate::ground::{self, locked, sleep, Ends};
-use crate::registry::{self, Entry, Registry};
+pub use crate::registry::Entry;
+use crate::registry::{self, Registry};
 use async_executor::Task;
 use async_io::Async;
 use event_listener::Event;
