--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -16,7 +16,7 @@
 
 const EXITS: &str = "\
 Exit codes: 0 done; 1 a scenario or a file of records is wrong, or an agent could not be reached; 2 the command line is
-wrong; 3 a rule was broken in some run; 4 a figure of `fleet` or of `scale --full` lies beyond a limit of the operators.";
+wrong; 3 a rule was broken in some run; 4 a figure of `fleet` or `scale --full` lies beyond an operators' limit.";
 
 /// Experiments on a model of the whole installation, and load on real agents.
 #[derive(Parser)]
