--- a/src/choice.rs
+++ b/src/choice.rs
@@ -144,9 +144,7 @@
             (0..self.fleet.len()).filter(|i| !named.contains(i)).for_each(|i| self.retire(i, Standing::Gone));
         }
         for e in entries {
-            if self.fleet.len() <= e.appliance {
-                self.fleet.resize_with(e.appliance + 1, Appliance::default);
-            }
+            self.fleet.resize_with(self.fleet.len().max(e.appliance + 1), Appliance::default);
             self.kinds.resize(self.kinds.len().max(e.kind + 1), Kind::default());
             let a = &self.fleet[e.appliance];
             let same = a.build == e.build && a.started == e.started && a.zone == e.zone;
@@ -158,8 +156,7 @@
             if e.standing != Standing::Running {
                 continue;
             }
-            let cold = e.started.filter(|s| *s + self.at.cold_for > now);
-            let quota = chance(&mut self.rng);
+            let (cold, quota) = (e.started.filter(|s| *s + self.at.cold_for > now), chance(&mut self.rng));
             self.fleet[e.appliance] = Appliance::listed(e, self.lanes.len(), in_flight, cold, quota);
             let b = self.build(e.build);
             b.newest = b.newest.max(e.started.unwrap_or_default());
@@ -269,8 +266,7 @@
     pub fn place(&mut self, now: Duration, id: u64) -> Answer {
         self.resume(now);
         let Some(c) = self.commands.get(&id).filter(|c| !c.closed) else { return Answer::Wait };
-        let lane = &self.lanes[c.lane];
-        let left = c.expires.saturating_sub(now);
+        let (lane, left) = (&self.lanes[c.lane], c.expires.saturating_sub(now));
         let spent = c.deliveries.len() >= self.at.deliveries;
         let hopeless = left.as_secs_f64() < lane.usual || c.forgotten(lane.repeats, now + self.at.tick);
 
@@ -320,9 +316,7 @@
         self.resume(now);
         let Some(c) = self.commands.get_mut(&id) else { return Answer::Wait };
         let Some(d) = c.deliveries.get_mut(delivery).filter(|d| d.out) else { return Answer::Wait };
-        d.out = false;
-        d.may_have_run = !end.outcome.never_ran();
-        d.failed = end.outcome == Outcome::Failed;
+        d.end(end.outcome);
         let (appliance, build, lane, key) = (d.appliance, d.build, c.lane, c.key);
         self.load.in_flight = self.load.in_flight.saturating_sub(1);
         // Guards against commands that fail anywhere: what fails at a second appliance, too, is held against
@@ -342,6 +336,9 @@
         }
         let weight = if first.is_some() { 0.0 } else { self.load.blame };
         self.told(now, appliance, end.outcome, end.held);
+        if end.outcome == Outcome::Satisfied && self.resumed < now {
+            self.hear(id, delivery, end.took);
+        }
         self.learn(now, appliance, build, lane, &end, weight);
         let by = build.max(self.fleet[appliance].build);
         let binds = self.at.one_way && self.news.as_ref().is_none_or(|n| by >= n.build);
@@ -390,10 +387,8 @@
     }
 
     pub(crate) fn on_trial(&self, build: u32) -> bool {
-        match &self.news {
-            Some(n) => build > n.build || build == n.build && n.phase != Phase::Released,
-            None => self.oldest < build,
-        }
+        let newer = |n: &News| build > n.build || build == n.build && n.phase != Phase::Released;
+        self.news.as_ref().map_or(self.oldest < build, newer)
     }
 
     /// Whether the newest build runs, on trial or not long since its newest start.
@@ -497,25 +492,29 @@
         let newest = self.builds.get(&n.build).map_or(now, |b| b.newest);
         // Guards where no agent sees enough to hold: all answers of late against the calm ones, by their mean
         // and, as some slow machines leave it alone, by the quick half. May pass over a bad build in a rush.
-        // What is still out has waited as long already: the slowest answers are the last to come.
         self.lanes.iter_mut().for_each(|l| l.open = 0.0);
         self.commands.values().for_each(|c| self.lanes[c.lane].open += c.waits(now, self.resumed));
+        let out = self.commands.iter().flat_map(|(id, c)| c.out().map(|(nth, d)| (*id, nth, d.sent)));
+        for (id, nth, sent) in out.collect::<Vec<_>>() {
+            self.hear(id, nth, now.saturating_sub(sent.max(self.resumed)));
+        }
         let (quick, ratio, answers) = LaneView::slowed(&self.lanes);
         let beyond = if answers < LEAST_OUTCOMES { 0.0 } else { strange(answers, ratio / PACE_EXCUSED) };
         let sure = quick < QUICK_SHARE && beyond > AGREED + self.at.voice;
-        // In place, what is still cold is missed: its load slows all.
+        // In place, what is still cold is missed: its load slows all, as a rush does that many agents share.
         let able = |(_, a): (usize, &Appliance)| self.at.ramp(now, a) - ABLE;
         let short = self.at.in_place && self.running().map(able).sum::<f64>() < 0.0;
+        let short = short || self.at.jury && self.intake.grown() >= GROWN;
         let d = &mut self.drag;
-        d.slow = sure && now < newest + SERVED && self.intake.grown() < GROWN && !short;
-        d.fade(PACE_FADE);
-        // Right after more of it came up, the quick half of the answers is gone: held at once, and sent back
-        // where its places are taken if that lasts. Some slow machines or a slow way leave the quick answers.
+        d.slow = sure && now < newest + SERVED && !short;
+        // Right after more of it came up, the quick half of the answers is gone, of the trial too: held at
+        // once, and sent back where its places are taken if that lasts. Slow machines or a slow way leave it.
         // If nearly all of the trial's own are gone, it needs more work than the earlier build.
         let ((share, gone), (own, apart)) = (d.quick_share(0), d.quick_share(1));
         let far = ALARM + self.at.agents.ln();
         let slow = own < QUICK_SHARE * 0.7 && share > QUICK_SHARE * 1.4 && apart > far;
         d.heavy |= started && own < share * SLOW_SHARE && apart > far;
+        let gone = gone + if own < QUICK_SHARE { apart } else { 0.0 };
         let sudden = now < newest + SETTLED && !short && share < QUICK_SHARE && gone > far;
         d.alarm = started && (sudden || slow || d.alarm && share.min(own * 1.4) < QUICK_SHARE * 1.2);
     }
@@ -577,9 +576,8 @@
 
     /// Two random choices by commands in flight, among what this command may go to.
     fn pick(&mut self, now: Duration, id: u64) -> Option<[usize; 2]> {
-        let c = &self.commands[&id];
-        let patience = self.patience();
-        let repeats = self.lanes[c.lane].repeats;
+        let (c, patience) = (&self.commands[&id], self.patience());
+        let (repeats, again) = (self.lanes[c.lane].repeats, !c.deliveries.is_empty());
         let idempotent = repeats == Repeats::Idempotent;
         let bound = c.key.and_then(|k| self.bound.get(&k)).copied().unwrap_or(0);
         let lasts = |n: &&News| bound >= n.build && matches!(n.phase, Phase::Trial | Phase::Released);
@@ -602,7 +600,6 @@
         let doubted = self.builds.values().any(|b| b.regressed);
         let yields =
             if self.at.in_place || doubted { 1.0 } else { (1.0 - fresh / f64::max(places, 1.0)).max(LEFT) };
-        let again = !c.deliveries.is_empty();
         let heavy = c.work.is_some_and(|w| w.as_secs_f64() > self.lanes[c.lane].quoted * HEAVY);
         let mut pool: [Vec<(usize, f64, f64)>; 4] = Default::default();
         for (i, a) in self.running() {
@@ -635,8 +632,7 @@
             };
             pool[rank].push((i, draw, self.busy(now, a).max(least) / (a.weight * rate * ramp)));
         }
-        let fit = pool.iter().find(|p| !p.is_empty())?;
-        let rng = self.rng.as_mut()?;
+        let (fit, rng) = (pool.iter().find(|p| !p.is_empty())?, self.rng.as_mut()?);
         let mut draw = || fit.choose_weighted(rng, |c| c.1).ok().or(fit.last());
         let (mut one, mut two) = (draw()?, draw()?);
         // A key's home is the same for all agents, by rendezvous hashing; it may be the busier one by a bit.
@@ -696,18 +692,13 @@
         let Some(lane) = self.commands.get(&id).map(|c| c.lane) else { return Answer::Wait };
         let wait = self.patience().min(self.late_after(&self.lanes[lane]));
         let Some(c) = self.commands.get_mut(&id) else { return Answer::Wait };
-        let (a, lane) = (&mut self.fleet[i], &self.lanes[lane]);
-        let left = c.expires.saturating_sub(now);
+        let (a, lane, left) = (&mut self.fleet[i], &self.lanes[lane], c.expires.saturating_sub(now));
         let again = c.deliveries.len() + 1 < self.at.deliveries && lane.repeats != Repeats::Unrepeatable;
         let soon = Duration::from_secs_f64((lane.usual * 6.0).max(lane.quoted * 0.8));
         let time_out = if again && !self.at.withdraw { soon.min(left) } else { left };
         let look = (again && self.at.withdraw).then_some(now + wait).filter(|t| *t < c.expires);
         let build = a.build;
-        c.deliveries.push(Delivery::to(i, a, now));
-        a.in_flight += 1;
-        a.since += 1.0;
-        a.unheard.get_or_insert(now);
-        a.quota -= 1.0;
+        c.deliveries.push(a.send(i, now));
         self.load.in_flight += 1;
         let slot = self.at.slot(c.lane);
         if self.on_trial(build) {
@@ -716,14 +707,30 @@
         Answer::Send { appliance: i, time_out, look }
     }
 
+    /// Hears once of each delivery whether it is quicker than half of the answers are. What is out for longer
+    /// is not: where all slows, the slowest answers come last, and many of their clients have left by then.
+    fn hear(&mut self, id: u64, nth: usize, took: Duration) {
+        let Some(c) = self.commands.get_mut(&id) else { return };
+        let (d, lane) = (&mut c.deliveries[nth], c.lane);
+        let a = &self.fleet[d.appliance];
+        let way = self.crossings.zones.get(a.zone).map_or(0.0, |t| t.added.as_secs_f64());
+        let quick = took.as_secs_f64() <= self.lanes[lane].half + way;
+        if !a.warm_of(d.build) || !d.hear(quick) {
+            return;
+        }
+        let (newest, near) = (self.news.as_ref().is_some_and(|n| d.build >= n.build), a.zone == self.at.zone);
+        let quiet = !self.running().any(|(_, a)| self.on_trial(a.build));
+        let step = if quick { 0.97 } else { 1.03 };
+        self.lanes[lane].half *= if quiet { step } else { 1.0 };
+        self.drag.hear(usize::from(newest), (!quiet && (newest || near)).then_some(quick));
+    }
+
     fn learn(&mut self, now: Duration, i: usize, build: u32, lane: usize, end: &End, blame: f64) {
-        let trial = self.on_trial(build);
         let newest = self.news.as_ref().is_some_and(|n| build >= n.build);
-        let quiet = !self.running().any(|(_, a)| self.on_trial(a.build));
         let round = self.fleet.len() as f64 / self.lanes.iter().map(|l| l.rate).sum::<f64>().max(1.0);
         let round = Duration::from_secs_f64(round).clamp(ASIDE_FIRST, ASIDE_MOST * 2);
         let way = self.crossings.zones.get(self.fleet[i].zone).map_or(0.0, |t| t.added.as_secs_f64());
-        let (judged, took) = (self.judged(now), end.took.as_secs_f64());
+        let (judged, trial, took) = (self.judged(now), self.on_trial(build), end.took.as_secs_f64());
         let (a, l) = (&mut self.fleet[i], &mut self.lanes[lane]);
         a.in_flight = a.in_flight.saturating_sub(1);
         if a.build != build || a.standing != Standing::Running {
@@ -744,8 +751,7 @@
                     // Back from silence: it may be a restart that the list has not told yet.
                     (a.cold_since, a.quota) = (Some(now), chance(&mut self.rng));
                 }
-                a.unheard = Some(now);
-                a.strikes = 0;
+                (a.unheard, a.strikes) = (Some(now), 0);
             }
             o if o == Outcome::NotSent || !mute && matches!(o, Outcome::TimedOut | Outcome::Withdrawn) => {}
             _ => {
@@ -783,15 +789,10 @@
             self.load.done += if a.cold_since.is_none() { 1.0 } else { 0.0 };
             if a.cold_since.is_none() && !stalled {
                 self.kinds[a.kind].pace.follow(x, KIND_GAIN);
-                // Guards a build that only other zones hold: the way there is not its work.
-                let bare = (took - way).max(0.0);
-                // Guards agents that some troubles leave the slower kind of machines only.
-                let alike = bare / self.kinds[a.kind].slower;
+                // Guards a build that only other zones hold, as the way there is not its work, and agents
+                // that some troubles leave the slower kind of machines only.
+                let alike = (took - way).max(0.0) / self.kinds[a.kind].slower;
                 (if judged { &mut l.late } else { &mut l.calm }).add(alike);
-                let step = if bare > l.half { 1.03 } else { 0.97 };
-                l.half *= if quiet { step } else { 1.0 };
-                let counted = !quiet && (newest || a.zone == self.at.zone);
-                self.drag.hear(usize::from(newest), counted.then_some(bare <= l.half));
                 if !trial {
                     l.seen = (l.seen + 1.0).min(50.0);
                     l.usual += (took.min(l.usual * 10.0) - l.usual) / l.seen;
@@ -860,6 +861,7 @@
         self.beside.fade(fade, 0.5f64.powf(SURVEY.as_secs_f64() / LATE_LIFE));
         let rate = self.lanes.iter().map(|l| l.rate).sum::<f64>() * SURVEY.as_secs_f64();
         let (judged, few) = (self.judged(now), (1.0 - rate / ENOUGH).max(PACE_FADE));
+        self.drag.fade(few);
         self.intake.survey(judged, 1.0 - PACE_FADE, 1.0 - fade);
         self.lanes.iter_mut().for_each(|l| l.fade_times(judged, ENOUGH, fade, few));
         self.customer_load.iter_mut().for_each(|l| *l *= 0.98);
--- a/src/state.rs
+++ b/src/state.rs
@@ -165,6 +165,7 @@
     pub out: bool,
     pub may_have_run: bool,
     pub failed: bool,
+    heard: bool, // whether it was quick
 }
 
 pub(crate) struct Open {
@@ -618,7 +619,30 @@
 impl Delivery {
     pub fn to(appliance: usize, a: &Appliance, sent: Duration) -> Delivery {
         let (build, zone, cell) = (a.build, a.zone, a.cell);
-        Delivery { appliance, build, zone, cell, sent, out: true, may_have_run: false, failed: false }
+        Delivery {
+            appliance,
+            build,
+            zone,
+            cell,
+            sent,
+            out: true,
+            may_have_run: false,
+            failed: false,
+            heard: false,
+        }
+    }
+
+    /// It ended so.
+    pub fn end(&mut self, outcome: Outcome) {
+        (self.out, self.may_have_run, self.failed) =
+            (false, !outcome.never_ran(), outcome == Outcome::Failed);
+    }
+
+    /// Whether this is new of it: that it was quick, which is known once it has ended, or that it is not.
+    pub fn hear(&mut self, quick: bool) -> bool {
+        let known = self.heard || self.out && quick;
+        self.heard |= !known;
+        !known
     }
 }
 
@@ -639,10 +663,14 @@
         })
     }
 
+    /// The deliveries that are out, with their numbers.
+    pub fn out(&self) -> impl Iterator<Item = (usize, &Delivery)> {
+        self.deliveries.iter().enumerate().filter(|(_, d)| d.out)
+    }
+
     /// Seconds for which its deliveries have been out, none of them from before `resumed`.
     pub fn waits(&self, now: Duration, resumed: Duration) -> f64 {
-        let out = self.deliveries.iter().filter(|d| d.out);
-        out.map(|d| now.saturating_sub(d.sent.max(resumed)).as_secs_f64()).sum()
+        self.out().map(|(_, d)| now.saturating_sub(d.sent.max(resumed)).as_secs_f64()).sum()
     }
 
     /// Whether repeats of what may have run are not told from it any more: nothing further may go out, anywhere.
@@ -685,6 +713,20 @@
         self.unheard.is_some_and(|t| now >= t + patience)
     }
 
+    /// Whether it is the same one that ran this build, and warm.
+    pub fn warm_of(&self, build: u32) -> bool {
+        self.build == build && self.standing == Standing::Running && self.cold_since.is_none()
+    }
+
+    /// One more delivery, to this one of number `i`.
+    pub fn send(&mut self, i: usize, now: Duration) -> Delivery {
+        self.in_flight += 1;
+        self.since += 1.0;
+        self.unheard.get_or_insert(now);
+        self.quota -= 1.0;
+        Delivery::to(i, self, now)
+    }
+
     pub fn listed(
         e: &Listed,
         lanes: usize,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -118,19 +118,38 @@
 /// The same with so many times the commands from 9 s on, and with this share of the answers of build 2 told as wrong
 /// two seconds later.
 fn rush(seed: u64, commands: f64, wrong: f64, ways: Ways) -> Votes {
-    let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut agents = fleet(100, |d| {
+    let agents = fleet(100, |d| {
         (d.seed, d.second_copies) = (d.seed * 977, true);
         d.lanes.iter_mut().for_each(|l| l.quoted = ms(900));
         d.rollout.votes_per_s = 16.0;
         d.rollout.back_votes = 5;
     });
+    play(Day { agents, each: 0.045, left: ms(3400), leave: None, seed, commands, wrong }, ways)
+}
+
+/// A day as above. Of `leave` a third of the clients go away after that time, if they are not answered by then.
+struct Day {
+    agents: Vec<Choice>,
+    each: f64, // commands of an agent in 5 ms
+    left: Duration,
+    leave: Option<Duration>,
+    seed: u64,
+    commands: f64,
+    wrong: f64,
+}
+
+const LOOK: usize = usize::MAX;
+const LEAVE: usize = usize::MAX - 1;
+
+fn play(day: Day, ways: Ways) -> Votes {
+    let Day { mut agents, each, left, leave, seed, commands, wrong } = day;
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let list = |of: std::ops::Range<usize>, build, started| -> Vec<Listed> {
         of.map(|i| listed(i, build, started)).collect()
     };
     let mut voted = BTreeMap::<_, BTreeMap<_, _>>::new();
     let mut out: BTreeSet<(Duration, usize, u64, usize)> = BTreeSet::new(); // when, agent, command, delivery
-    let mut ends: BTreeMap<(usize, u64, usize), (Duration, Outcome)> = BTreeMap::new();
+    let mut ends: BTreeMap<(usize, u64, usize), (Duration, Outcome, Duration)> = BTreeMap::new();
     let mut sent: BTreeMap<(usize, u64), usize> = BTreeMap::new();
     let mut served: BTreeMap<(usize, u64), usize> = BTreeMap::new();
     let mut flags: Vec<(Duration, usize, usize)> = Vec::new();
@@ -169,8 +188,19 @@
             let dues: Vec<_> = out.iter().take_while(|o| o.0 <= now).filter(|o| o.1 == n).copied().collect();
             for o in dues {
                 out.remove(&o);
+                let at_work = (n, o.2, 0)..(n, o.2, LEAVE);
+                if o.3 == LEAVE && ends.range(at_work.clone()).next().is_some() {
+                    choice.left(o.2);
+                    let gone: Vec<_> = ends.range(at_work).map(|(key, e)| (*key, e.2)).collect();
+                    for (key, began) in gone {
+                        ends.remove(&key);
+                        let took = now - began;
+                        let end = End { outcome: Outcome::Withdrawn, took, closed: true, held: None };
+                        choice.after(now, key.1, key.2, end);
+                    }
+                }
                 match ends.remove(&(n, o.2, o.3)) {
-                    Some((took, outcome)) => {
+                    Some((took, outcome, _)) => {
                         let closed = outcome == Outcome::Satisfied;
                         if let Some(appliance) = served.remove(&(n, o.2)) {
                             if appliance >= 60 && rng.gen_bool(wrong) {
@@ -182,18 +212,20 @@
                             choice.after(now, o.2, o.3, End { outcome, took, closed, held: None }),
                         ));
                     }
-                    None if o.3 == usize::MAX => asks.push((o.2, choice.place(now, o.2))),
+                    None if o.3 == LOOK => asks.push((o.2, choice.place(now, o.2))),
                     None => {}
                 }
             }
-            if rng.gen_bool(0.045 * if step > 1600 { commands } else { 1.0 }) {
+            if rng.gen_bool(each * if step > 1600 { commands } else { 1.0 }) {
                 let lane = [0, 0, 0, 0, 1, 1, 1, 1, 2][rng.gen_range(0..9)];
                 let id = step * 100 + n as u64;
                 choice.take(
                     now,
                     id,
-                    Command { lane, customer: Some(0), key: None, left: ms(3400), work: None, again: false },
+                    Command { lane, customer: Some(0), key: None, left, work: None, again: false },
                 );
+                let leaves = leave.filter(|_| rng.gen_bool(1.0 / 3.0));
+                out.extend(leaves.map(|after| (now + after, n, id, LEAVE)));
                 asks.push((id, choice.place(now, id)));
             }
             while let Some((id, answer)) = asks.pop() {
@@ -203,16 +235,16 @@
                         let build = if appliance < 60 { 1 } else { 2 };
                         let (outcome, took) = ways(&mut rng, now, appliance, build);
                         out.insert((now + took, n, id, *delivery));
-                        ends.insert((n, id, *delivery), (took, outcome));
+                        ends.insert((n, id, *delivery), (took, outcome, now));
                         *delivery += 1;
                         served.insert((n, id), appliance);
-                        out.extend(look.map(|at| (at, n, id, usize::MAX)));
+                        out.extend(look.map(|at| (at, n, id, LOOK)));
                     }
                     Answer::NotYet { until } => {
-                        out.insert((until, n, id, usize::MAX));
+                        out.insert((until, n, id, LOOK));
                     }
                     Answer::Withdraw { delivery } => {
-                        if let Some((took, _)) = ends.remove(&(n, id, delivery)) {
+                        if let Some((took, ..)) = ends.remove(&(n, id, delivery)) {
                             let end = End { outcome: Outcome::Withdrawn, took, closed: true, held: None };
                             asks.push((id, choice.after(now, id, delivery, end)));
                         }
@@ -225,6 +257,34 @@
     voted
 }
 
+/// Six agents, of which each sees eight commands a second that take 2.3 s each, on machines of which one in five
+/// takes six times as long; a third of the clients leave after five seconds.
+fn few(seed: u64, slows: f64) -> Votes {
+    let agents = fleet(6, |d| {
+        (d.seed, d.second_copies, d.crossing_price) = (d.seed * 977, true, 0.04);
+        d.lanes.iter_mut().for_each(|l| l.quoted = ms(14_000));
+    });
+    let ways = |rng: &mut Pcg64Mcg, now: Duration, appliance: usize, _: u32| {
+        let machine = if appliance % 5 == 3 { 6.0 } else { 1.0 };
+        let drag = if now > ms(11_000) { slows } else { 1.0 };
+        (Outcome::Satisfied, exponential(rng, 2.3 * machine * drag))
+    };
+    let leave = Some(ms(5000));
+    play(Day { agents, each: 0.04, left: ms(23_000), leave, seed, commands: 1.0, wrong: 0.0 }, &ways)
+}
+
+#[test]
+fn a_build_that_slows_all_is_held_where_work_takes_seconds_and_a_good_one_is_not() {
+    let spoke = |seed, slows| few(seed, slows).values().flat_map(|v| v.keys()).collect::<BTreeSet<_>>().len();
+    let bad: Vec<usize> = (1..9).map(|seed| spoke(seed, 4.0)).collect();
+    let good: Vec<usize> = (1..9).map(|seed| spoke(seed, 1.0)).collect();
+    assert!(
+        bad.iter().all(|n| *n > 0) && bad.iter().sum::<usize>() >= 16,
+        "who spoke on each bad day: {bad:?}"
+    );
+    assert!(good.iter().sum::<usize>() <= 1, "who spoke on each good day: {good:?}");
+}
+
 fn exponential(rng: &mut Pcg64Mcg, mean: f64) -> Duration {
     Duration::from_secs_f64(-mean * rng.gen_range(1e-6..1.0f64).ln())
 }
