Wrong answers are sent back once the hold stands, where one agent's word suffices

The one agent that is sure of it (14 to 15 s) held, five others went on sending it their share; judge kept the vote to send back for wrong answers for deployments where several must agree.

The new test fails without the change; none was changed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -471,14 +471,14 @@
         b.regressed = seen;
         b.shown = if seen { b.shown + strength * SURVEY.as_secs_f64() } else { b.shown * BACK_FADE };
         let lasting = seen && b.shown >= BACK_WEIGHT;
-        // A hold cannot protect from a released build, nor give back places, nor spare many small agents:
+        // No hold spares small agents, gives back places or guards from wrong answers and a released build:
         // where several must agree, half of them send back at once, the others once their hold stands.
         let taken = self.at.in_place && held > BACK_SHARE * self.running().count() as f64;
         let held_first = self.votes.standing.as_ref().is_some_and(|(v, _)| v.build == n.build);
         let verdict = match n.phase {
             _ if agreed => Some(Verdict::Back),
             Phase::Released if lasting && age < SERVED => Some(Verdict::Back),
-            Phase::Trial if lasting && taken => Some(Verdict::Back),
+            Phase::Trial if lasting && taken || seen && wrong && held_first => Some(Verdict::Back),
             Phase::Trial if seen && self.at.jury && (self.votes.severe || held_first) => Some(Verdict::Back),
             Phase::Trial if seen => Some(Verdict::Hold),
             _ => None,
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -121,6 +121,27 @@
     assert_eq!(w.last_vote(), Some(Verdict::Hold), "{:?}", w.notes);
 }
 
+/// The hold of one agent keeps only its own commands from the build; wrong answers come from no sick machine.
+#[test]
+fn wrong_answers_are_sent_back_once_the_hold_stands_and_failures_are_not() {
+    for wrong in [true, false] {
+        let mut w = rollout(|_| {});
+        w.serve(100, 0, ms(20), |_| Outcome::Satisfied);
+        for i in 0..6 {
+            match wrong {
+                true => w.choice.flag(w.now, 8 + i % 2, 0, ms(50)),
+                false => w.serve(8, 0, ms(20), failing(8)),
+            }
+        }
+        w.pass(ms(300));
+        assert_eq!(w.last_vote(), Some(Verdict::Hold), "{:?}", w.notes);
+        w.choice.reply(w.now, Reply::Counted);
+        w.pass(ms(600));
+        let then = if wrong { Verdict::Back } else { Verdict::Hold };
+        assert_eq!(w.last_vote(), Some(then), "{:?}", w.notes);
+    }
+}
+
 #[test]
 fn lost_answers_of_a_sick_machine_do_not_erase_the_baseline() {
     let mut w = rollout(|_| {});
