--- a/crates/membership/tests/calls.rs
+++ b/crates/membership/tests/calls.rs
@@ -245,3 +245,21 @@
         assert!(most <= f64::from(agents) * 4.2, "{event:?}: {most} calls in a second");
     }
 }
+
+/// A discovery that bears one call of each in 8 s, where the told rate spreads nothing: not all can be heard in time, and tries that
+/// are far apart leave what it bears unused. Counted over many fleets, as one late agent may be chance.
+#[test]
+fn refused_agents_try_often_enough_to_use_what_discovery_bears() {
+    for agents in [30u32, 300] {
+        let bears = f64::from(agents) / 8.0;
+        let (mut beyond, mut worst) = (Duration::ZERO, Duration::ZERO);
+        for seed in 1..21 {
+            for a in play(Event::Start, agents, bears, bears * 10.0, seed).agents {
+                let late = a.heard.expect("each is heard in the end").saturating_sub(a.bound);
+                (beyond, worst) = (beyond + late, worst.max(late));
+            }
+        }
+        let mean = beyond / (agents * 20);
+        assert!(mean < ms(350) && worst < ms(4000), "{agents}: {mean:?} on the mean, {worst:?} at worst");
+    }
+}
