--- a/crates/agent/tests/zones.rs
+++ b/crates/agent/tests/zones.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Output};
+use std::sync::{Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 use tulipwall_standins::ground::{until, SOON};
@@ -27,13 +28,22 @@
     world
 }
 
+/// One load at a time: two of them on a few cores would make near look full, and none of these tests is about that.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn turn() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
 /// An agent in akl-east with this said of zones, and its door.
 struct Agent {
+    _turn: MutexGuard<'static, ()>,
     program: Program,
     door: String,
 }
 
 fn start(world: &World, zones: &str) -> Agent {
+    let turn = turn();
     let door = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
     let configuration = world.configuration("n1", 0).unwrap();
     let file =
@@ -41,7 +51,7 @@
     std::fs::write(&file, text(&door, zones)).unwrap();
     let program =
         Program::start(BINARY, configuration, &["run", "--installation", file.to_str().unwrap()]).unwrap();
-    let agent = Agent { program, door };
+    let agent = Agent { program, door, _turn: turn };
     Caller::connect(agent.program.address().unwrap()).unwrap();
     agent
 }
@@ -285,7 +295,7 @@
     let arguments = ["run", "--installation", file.to_str().unwrap()];
     let mut program = Program::start(BINARY, world.configuration("n1", 0).unwrap(), &arguments).unwrap();
     Caller::connect(program.address().unwrap()).unwrap();
-    let mut agent = Agent { program, door };
+    let mut agent = Agent { program, door, _turn: turn() };
     assert_eq!(agent.load(600.0, ms(2500)).play().unanswered, 0);
     let drawn = agent.ask(&["--svg", svg.to_str().unwrap()]);
     assert!(drawn.status.success(), "{}", String::from_utf8_lossy(&drawn.stderr));
