No connection is opened ahead of commands where each handshake is paid for

Ruled out: evictions by the bound on sockets (none), connections opened and then not written on (0.2%), a fresh connection where an idle one waited (7, for its rest of 20 ms).

Lines at fault: delivery.rs, warm: it opens half of the places for appliances at each start, whatever handshakes cost. Now it opens none where the settings do (prices.handshake, read in crates/deployment); it stays as it was elsewhere.

Test: a_start_opens_connections_ahead_only_where_handshakes_cost_nothing (crossing.rs) fails without the guard; whatever_is_other_is_seen (renewal.rs) has the price, too.

--- a/crates/agent/src/delivery.rs
+++ b/crates/agent/src/delivery.rs
@@ -215,9 +215,13 @@
     }
 }
 
-/// Opens connections ahead of the first commands: all at once these would wait for as many handshakes.
+/// Opens connections ahead of the first commands: all at once these would wait for as many handshakes. None where each
+/// is paid for, as most would close again before a command came for them; there the first commands wait for their own.
 pub async fn warm(agent: &Rc<Agent>) {
     let targets = agent.targets().await;
+    if agent.site().handshake_price > 0.0 {
+        return;
+    }
     let each = agent.sockets.appliances_most() / 2 / targets.len().max(1);
     let opening: Vec<_> = targets
         .into_iter()
--- a/crates/agent/tests/crossing.rs
+++ b/crates/agent/tests/crossing.rs
@@ -599,6 +599,27 @@
     assert!((1..=230).contains(&opened), "{opened} connections");
 }
 
+/// Where each handshake is paid for, a start opens none that no command asked for, and one command opens one.
+#[test]
+fn a_start_opens_connections_ahead_only_where_handshakes_cost_nothing() {
+    for (price, ahead) in [(0.0, true), (0.08, false)] {
+        let world = world(&[works(0), works(0)]);
+        let agent = start(&world, |c| c["settings"]["prices"]["handshake"] = price.into());
+        let mut client = caller(&agent);
+        assert!(until(|| agent.log().contains("phase: Serving")));
+        sleep(ms(200));
+        let opened = || {
+            let connections = world.counted(0, 0).get(appliance::CONNECTIONS).copied().unwrap_or_default();
+            connections.read as usize / pg::startup().len()
+        };
+        let before = opened();
+        assert_eq!(before > 0, ahead, "{before} connections at a price of {price}");
+        client.ask("view", 1400);
+        assert_eq!(client.told().unwrap().code(), None);
+        assert_eq!(opened(), before + usize::from(!ahead), "at a price of {price}");
+    }
+}
+
 #[test]
 fn a_start_without_any_list_while_discovery_is_away_is_ready_and_denies() {
     let world = world(&[works(0)]);
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -75,6 +75,8 @@
     pub zones: Vec<String>,
     pub connect_within: Duration,
     pub idle_most: Duration,
+    /// What a connection opened for each command would cost, in points of service; 0 where connections cost nothing.
+    pub handshake_price: f64,
     pub longest_expiry: Duration,
     lane_numbers: HashMap<String, usize>,
     customer_numbers: HashMap<String, usize>,
@@ -185,6 +187,7 @@
             zones,
             connect_within: limits.span_or("dial-timeout-ms", 1000.0)?,
             idle_most: limits.span_or("conn-idle-ms", 30_000.0)?,
+            handshake_price: prices.number_or("handshake", 0.0)?,
             longest_expiry,
             lane_numbers,
             customer_numbers,
--- a/crates/deployment/src/renewal.rs
+++ b/crates/deployment/src/renewal.rs
@@ -51,10 +51,10 @@
             let same = of.iter().filter(|o| **o == Origin::Same).count();
             names == [same; 2]
         };
-        let spans = |s: &Site| (s.connect_within, s.idle_most, s.longest_expiry);
+        let figures = |s: &Site| (s.connect_within, s.idle_most, s.handshake_price, s.longest_expiry);
         goes_on(&by.lanes, [old.lane_numbers.len(), self.lane_numbers.len()])
             && goes_on(&by.customers, [old.customer_numbers.len(), self.customer_numbers.len()])
-            && (&self.over, &self.zone_numbers, spans(self)) == (&old.over, &old.zone_numbers, spans(old))
+            && (&self.over, &self.zone_numbers, figures(self)) == (&old.over, &old.zone_numbers, figures(old))
             && self.deployment == old.deployment
     }
 
--- a/crates/deployment/tests/renewal.rs
+++ b/crates/deployment/tests/renewal.rs
@@ -127,6 +127,7 @@
     assert!(!is(&|s| s["zones"] = json!(["a", "b", "c"])));
     assert!(!is(&|s| s["zone"] = "a".into()));
     assert!(!is(&|s| s["limits"]["dial-timeout-ms"] = 77.into()));
+    assert!(!is(&|s| s["prices"]["handshake"] = 0.1.into()));
     assert!(!is(&|s| s["instances"] = 5.into()));
     assert!(!is(&|s| s["domain"]["most-shares"] = json!([0.5])));
 }
