Tests count what discovery was asked once all that was on its way has arrived

Where lists are pushed two tries go out at a new address (discovery.rs, `over(..).or(begin(..))`), the first answer ends the other. The test took its counts after that answer, while the stand-in had not yet accepted the connection of the other try or read its call: it was counted after `opened` and `wholes` were taken. The agent asked once, and for changes alone, as it should. Ruled out: a second call by the changed way to ask (it has no second try), a watch that ended in between (no such line in its log).

Change: `Discovery::settled` in the stand-ins. It asks a call of its own, behind which all earlier connections have been accepted, and waits until at most one of them goes on. `asked` in the test waits for it each time, and after the last move 0.3 s more, so that what comes late is counted, too: no bound is eased, and a second watch beside the first fails the test now.

--- a/crates/agent/tests/renewal.rs
+++ b/crates/agent/tests/renewal.rs
@@ -59,8 +59,10 @@
     world.seen().get(id).map_or(0, Vec::len)
 }
 
-/// What is asked of discovery and the platform: whole lists, and connections to either.
+/// What is asked of discovery and the platform: whole lists, and connections to either. Of two tries at a start the
+/// later one may be on its way for a while after the first was answered; it is waited for.
 fn asked(world: &World) -> (usize, usize, usize) {
+    assert!(world.discovery.settled(0).unwrap(), "one watch at a time");
     (world.discovery.asked_whole(), world.discovery.connections(), world.platform.connections())
 }
 
@@ -220,7 +222,8 @@
     configuration["discovery"] = discovery.address(0).to_string().into();
     renew(&agent, &configuration);
     assert!(until(|| agent.log().matches("phase: Serving").count() == 3));
-    // A first try may be late, and is made again.
+    // Two tries may be made there, of which one goes on.
+    assert!(discovery.settled(0).unwrap());
     let wholes = discovery.asked_whole();
     assert!(wholes >= 1);
     assert_eq!((next.connections(), asked(&world)), (1, before));
@@ -229,6 +232,8 @@
     configuration["settings"]["discovery"] = "ask".into();
     renew(&agent, &configuration);
     assert!(until(|| agent.log().matches("phase: Serving").count() == 4));
+    sleep(ms(300));
+    assert!(discovery.settled(0).unwrap());
     assert_eq!((discovery.connections(), discovery.asked_whole()), (opened + 1, wholes));
     assert_eq!(next.connections(), 1);
     assert_eq!(ask(&mut client, "last", "view"), None);
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -10,7 +10,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde_json::Value;
 use std::collections::VecDeque;
-use std::io;
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -46,6 +46,8 @@
     hushes: u64,           // how often open connections fell silent
     registry: Registry,
     connections: usize,
+    open: usize,    // of them
+    own: usize,     // of them, one call each: those of `settled`
     written: usize, // bytes
     asked: usize,
     wholes: usize,
@@ -130,7 +132,21 @@
 
     /// How many connections were opened to it.
     pub fn connections(&self) -> usize {
-        self.shared.state().connections
+        let state = self.shared.state();
+        state.connections - state.own
+    }
+
+    /// Waits until all that was asked before this call is counted: at most one of the connections that were opened by
+    /// then goes on. Whether it came to that within [`ground::SOON`].
+    pub fn settled(&self, from: usize) -> io::Result<bool> {
+        // Connections are taken in their order, so each earlier one has been once this one is answered.
+        let mut last = TcpStream::connect(self.address(from))?;
+        last.set_read_timeout(Some(ground::SOON))?;
+        write!(last, "GET /api/targets?after={}&wait_ms=0 HTTP/1.1\r\n\r\n", u64::MAX)?;
+        last.read_exact(&mut [0; 1])?;
+        drop(last);
+        self.shared.state().own += 1;
+        Ok(ground::until(|| self.shared.state().open <= 1))
     }
 
     /// Bytes of all answers so far.
@@ -140,7 +156,8 @@
 
     /// How often anything was asked.
     pub fn asked(&self) -> usize {
-        self.shared.state().asked
+        let state = self.shared.state();
+        state.asked - state.own
     }
 
     /// How often the whole list was.
@@ -154,10 +171,20 @@
     }
 }
 
+/// A connection that is open, until it is dropped.
+struct Opened<'a>(&'a Shared);
+
+impl Drop for Opened<'_> {
+    fn drop(&mut self) {
+        self.0.state().open -= 1;
+    }
+}
+
 async fn talk(shared: &Shared, from: usize, mut stream: Async<TcpStream>) -> io::Result<()> {
+    let _open = Opened(shared);
     let (meets, hushes) = {
         let mut state = shared.state();
-        state.connections += 1;
+        (state.connections, state.open) = (state.connections + 1, state.open + 1);
         (state.next.pop_front(), state.hushes)
     };
     match meets {
