Seeded breaks for the eight crossing cases; two cases cross now what they name

Each of the eight cases of crossing.rs that held before was run on a program broken on purpose, one run each, in a scratch copy. With 29 (three places, none kept ahead) it is written after the answer and caught. - SIGTERM twice: both signals came before the first was seen, and a program that ends at the second passed. A third, sent once it says that it leaves, is caught. The eighth, a connection that breaks before a command has arrived, is caught by no break tried: from outside both outcomes are right.

--- a/crates/agent/tests/crossing.rs
+++ b/crates/agent/tests/crossing.rs
@@ -172,7 +172,11 @@
 fn nothing_is_written_for_a_second_copy_whose_connection_comes_up_after_the_final_answer() {
     let world = world(&[works(400), works(400)]);
     late(&world, "s-1", 900);
-    let agent = start(&world, opens_late);
+    // Room for the second copy's connection beside the first one's, and for none kept ahead.
+    let agent = start(&world, |c| {
+        opens_late(c);
+        c["limits"]["sockets"] = 29.into();
+    });
     let mut client = caller(&agent);
     client.ask("view", 1400);
     assert_eq!(client.told().unwrap().code(), None);
@@ -574,6 +578,8 @@
     agent.terminate().unwrap();
     agent.renew(&agent.configuration.to_string()).unwrap();
     agent.terminate().unwrap();
+    assert!(until(|| agent.log().contains("phase: Leaving")));
+    agent.terminate().unwrap();
     let mut client = caller(&agent);
     client.ask("view", 1400);
     assert_eq!(client.told().unwrap().code(), None);
