--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,5 @@
 //! What a [`Choice`](crate::Choice) remembers, grouped by how long it lives: one delivery, one command, one
-//! appliance, one build, the instance. Plain data; every decision on it is in `choice.rs`.
+//! appliance, one build, the instance. Plain data; every decision on it is in `choice.rs` and `choice/`.
 
 use crate::types::*;
 use crate::Choice;
@@ -140,6 +140,11 @@
         self.flagged = self.flagged * by + o.flagged;
         self.lost = self.lost * by + o.lost;
     }
+    /// One that is faded by `by`, with `o` added.
+    pub fn mixed(mut self, by: f64, o: &Count) -> Count {
+        self.mix(by, o);
+        self
+    }
     pub fn sum(of: &[Count]) -> Count {
         let mut sum = Count::default();
         of.iter().for_each(|c| sum.mix(1.0, c));
@@ -243,32 +248,6 @@
     }
 }
 
-/// What each of so many zones holds now.
-pub(crate) fn rooms(
-    fleet: &[Appliance],
-    at: &Bounds,
-    now: Duration,
-    patience: Duration,
-    zones: usize,
-) -> Vec<Room> {
-    let mut rooms = vec![Room::default(); zones];
-    for a in fleet {
-        let Some(room) = rooms.get_mut(a.zone).filter(|_| a.standing != Standing::Gone) else { continue };
-        room.in_flight += a.in_flight;
-        if a.standing == Standing::Draining {
-            room.draining += 1;
-            continue;
-        }
-        room.running += 1;
-        if a.aside.is_none() && !a.silent(now, patience) {
-            room.awake += 1;
-            room.warm += usize::from(a.cold_since.is_none());
-            room.open += a.weight * at.ramp(now, a);
-        }
-    }
-    rooms
-}
-
 #[derive(Default)]
 pub(crate) struct Build {
     pub tokens: Vec<f64>,
@@ -421,7 +400,7 @@
     pub vote_life: Duration,
     pub vote_wait: Duration,
     pub vote_share: f64, // seconds between votes that leave the others theirs
-    pub flagged_share: f64,
+    pub flag_worth: f64, // failures that one reported answer stands for
     pub agents: f64,
     pub looks: Cell<u64>, // at appliances, by all walks so far
 }
@@ -499,8 +478,8 @@
     answers * (ratio - 1.0 - ratio.ln())
 }
 
-/// How far an appliance of this mark and weight is from a key: all agents find the same one nearest.
-pub(crate) fn rendezvous(key: u64, mark: u64, weight: f64) -> f64 {
+/// Weighted rendezvous hashing: how far an appliance of this mark and weight is from a key.
+fn rendezvous(key: u64, mark: u64, weight: f64) -> f64 {
     let mut n = key ^ mark.rotate_left(32);
     for factor in [0xff51_afd7_ed55_8ccd, 0xc4ce_b9fe_1a85_ec53] {
         n = (n ^ n >> 33).wrapping_mul(factor);
@@ -607,7 +586,7 @@
             vote_life: r.vote_life,
             vote_wait: r.vote_wait,
             vote_share: f64::from(d.agents) / r.votes_per_s.max(0.001),
-            flagged_share: r.flagged_share,
+            flag_worth: 1.0 / r.flagged_share.clamp(0.1, 1.0),
             agents: f64::from(d.agents).max(1.0),
             looks: Cell::default(),
         }
@@ -619,6 +598,36 @@
     pub fn looks(&self) -> u64 {
         self.at.looks.get()
     }
+
+    /// How many commands, appliances, builds and bound keys are kept.
+    pub fn kept(&self) -> [usize; 4] {
+        [self.commands.len(), self.fleet.len(), self.builds.len(), self.bound.len()]
+    }
+
+    /// What each of so many zones holds now.
+    pub fn rooms(&self, now: Duration, zones: usize) -> Vec<Room> {
+        let (mut rooms, patience) = (vec![Room::default(); zones], self.patience());
+        for a in &self.fleet {
+            let Some(room) = rooms.get_mut(a.zone).filter(|_| a.standing != Standing::Gone) else { continue };
+            room.in_flight += a.in_flight;
+            if a.standing == Standing::Draining {
+                room.draining += 1;
+                continue;
+            }
+            room.running += 1;
+            if a.aside.is_none() && !a.silent(now, patience) {
+                room.awake += 1;
+                room.warm += usize::from(a.cold_since.is_none());
+                room.open += a.weight * self.at.ramp(now, a);
+            }
+        }
+        rooms
+    }
+
+    /// How far an appliance is from a key, by its mark and kind: all agents find the same one nearest.
+    pub(crate) fn distance(&self, key: u64, a: &Appliance) -> f64 {
+        rendezvous(key, a.mark, self.kinds[a.kind].step)
+    }
 }
 
 impl Delivery {
@@ -732,14 +741,9 @@
         Delivery::to(i, self, now)
     }
 
-    pub fn listed(
-        e: &Listed,
-        lanes: usize,
-        in_flight: usize,
-        cold_since: Option<Duration>,
-        quota: f64,
-    ) -> Appliance {
-        Appliance {
+    /// From now on it is what the list says. Commands in flight stay; all else is forgotten.
+    pub fn start(&mut self, e: &Listed, lanes: usize, cold_since: Option<Duration>, quota: f64) {
+        *self = Appliance {
             standing: e.standing,
             zone: e.zone,
             cell: e.cell,
@@ -749,12 +753,12 @@
             started: e.started,
             cold_since,
             quota,
-            in_flight,
+            in_flight: self.in_flight,
             high: 1.0,
             weight: 1.0,
             counts: vec![Count::default(); lanes],
             ..Appliance::default()
-        }
+        };
     }
 }
 
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -2,7 +2,6 @@
 //! decide. It decides nothing, and what only chance would have told apart is not counted.
 
 use crate::choice::Choice;
-use crate::state::{rendezvous, Appliance};
 use crate::types::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -137,8 +136,8 @@
         // What may go nowhere else, and where two are alike, is no difference.
         if let Some(key) = key.filter(|_| self.other.warm_keys) {
             let fit = choice.running().filter(|(_, a)| !choice.on_trial(a.build) && a.cold_since.is_none());
-            let far = |a: &Appliance| rendezvous(key, a.mark, choice.kinds[a.kind].step);
-            let home = fit.min_by(|(_, a), (_, b)| far(a).total_cmp(&far(b)));
+            let home =
+                fit.min_by(|(_, a), (_, b)| choice.distance(key, a).total_cmp(&choice.distance(key, b)));
             let idle = home.filter(|(i, a)| *i != appliance && a.in_flight == 0 && a.aside.is_none());
             self.counts.key += u64::from(idle.is_some() && !trial);
         }
