The queue of connections has as many places as there are for clients

Seen: two_hundred_denied_at_the_same_moment_.. of client.rs, in about half of its runs on a busy machine 184 to 190 of 200 satisfied where over 190 are wanted, 16 clients `not_sent` after 0.5 s with 2 s left.

Cause: program.rs listens through the standard library, which asks for a queue of 128. While the agent does not get to run, who finds the queue full has its first packet dropped and sends it again after 1 s; the client library gives the opening up after 0.5 s, takes the agent for lost and draws the next from its spread of 3 s, a third of which lies beyond the 2 s left: denied at once.

Ruled out: the retry budget (each try was granted another), the agent's decisions (none of these commands had reached it), what came after (the queue is as old as the listener).

Change: listen again with the places for clients, 128 at least. Test: 200 connect while the agent is stopped; fails without the mend.

--- a/crates/agent/src/memory/pools.rs
+++ b/crates/agent/src/memory/pools.rs
@@ -86,9 +86,13 @@
         self.clients.slot()
     }
 
+    pub fn clients_most(&self) -> usize {
+        self.clients.most.get()
+    }
+
     /// Hardly any place is left for further clients.
     pub fn clients_crowd(&self) -> bool {
-        let most = self.clients.most.get();
+        let most = self.clients_most();
         self.clients.held.get() + most / 8 >= most
     }
 
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -16,8 +16,10 @@
 use tulipwall_deployment::LogForm;
 use tulipwall_membership::watchdog::Watchdog;
 
-/// How soon to look again for a free descriptor.
+/// Connections that may wait to be taken in, where there are fewer places: what the standard library asks for.
+const QUEUE_LEAST: usize = 128;
 const WATCH_EVERY: Duration = Duration::from_secs(60);
+/// How soon to look again for a free descriptor.
 const ROOM_AGAIN: Duration = Duration::from_millis(20);
 
 /// A start counts as done after so long, half of what nine in ten of them may take, whatever is still awaited: a list,
@@ -46,6 +48,10 @@
         let listener = TcpListener::bind(agent.listen)
             .map_err(|e| io::Error::new(e.kind(), format!("field listen: {}: {e}", agent.listen)))?;
         listener.set_nonblocking(true)?;
+        // Guards a rush while this agent does not get to run: whoever finds the queue full has its first packet dropped,
+        // which it sends again a second later. Harms where it stands still for long: more commands are late then.
+        let queue = agent.sockets.clients_most().max(QUEUE_LEAST);
+        rustix::net::listen(&listener, i32::try_from(queue).unwrap_or(i32::MAX))?;
         let listener = Rc::new(Source::new(listener)?);
         let opened = opening.as_ref().map(door::open).transpose();
         let opened = opened.map_err(|e| io::Error::new(e.kind(), format!("door: {e}")))?;
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -315,6 +315,31 @@
     assert_eq!(clients.iter_mut().filter_map(told).count(), 0);
 }
 
+/// Guards a rush: whoever finds the queue of connections full is left to a packet that is sent again a second later.
+#[test]
+fn a_rush_that_comes_while_the_agent_stands_still_is_taken_in_whole_and_served() {
+    let world = world(&[acts(Act::Answers)]);
+    let agent = start(&world, 1024);
+    drop(caller(&agent));
+    agent.stall(true).unwrap();
+    // The queue is the machine's: this waits for nothing that the agent does.
+    let rush: Vec<_> = (0..200)
+        .map(|n| {
+            let mut stream = TcpStream::connect_timeout(&agent.address().unwrap(), Duration::from_secs(5))
+                .unwrap_or_else(|e| panic!("{n} came before: {e}"));
+            stream.set_read_timeout(Some(SOON)).unwrap();
+            let query = format!("SELECT body FROM objects WHERE oid = 'a1' /* id=r{n},c=view,d=15000 */");
+            stream.write_all(&[pg::startup(), pg::query(&query)].concat()).unwrap();
+            Caller { stream }
+        })
+        .collect();
+    agent.stall(false).unwrap();
+    for mut client in rush {
+        client.until_ready().unwrap();
+        assert_eq!(told(&mut client), None);
+    }
+}
+
 #[test]
 fn what_is_kept_follows_what_is_alive_however_many_came() {
     let value = program::settings(&["a"], "a", 1, &lanes());
