--- a/crates/standins/src/appliance.rs
+++ b/crates/standins/src/appliance.rs
@@ -108,6 +108,8 @@
     pub statement: String,
     /// It was run, whatever became of its answer.
     pub ran: bool,
+    /// How long after its answer was begun another one behind it was written, once it was.
+    pub behind: Option<Duration>,
 }
 
 /// What passed on one way and lane, counted at this end of the wire.
@@ -276,13 +278,15 @@
             key: named("k"),
             statement: text,
             ran: !matches!(act, Act::TurnsAway | Act::Leaves),
+            behind: None,
         };
-        {
+        let nth = {
             let mut state = shared.state();
             if state.seen.len() < SEEN_MOST {
                 state.seen.push(seen);
             }
-        }
+            state.seen.len() - 1
+        };
         shared.count(from, &lane, |c| {
             c.deliveries += 1;
             c.read += body.len() as u64 + 5;
@@ -305,6 +309,7 @@
             work.or(gone).await
         };
         let Some(Some(answer)) = answer else { return Ok(()) };
+        let begun = Instant::now();
         if let Act::Trickles(gap) = act {
             for byte in &answer {
                 stream.write_all(&[*byte]).await?;
@@ -319,7 +324,9 @@
         }
         if let Act::TwiceAfter(gap) = act {
             sleep(Duration::from_millis(gap.into())).await;
-            stream.write_all(&pg::value(&[0xee])).await?;
+            let written = stream.write_all(&pg::value(&[0xee])).await;
+            shared.state().seen[nth].behind = Some(begun.elapsed());
+            written?;
         }
     }
 }
