A start sends nothing by its list before its first call for lists has ended

Seen: a start does not know how old its `known` is. Where the agent's share of the calls is longer than 2 s its first call went out up to 5 s after the start (`Choice::new`), and from 2 s on (`Watchdog::start_within`) it served by `known` until that call or 6 s (`Vouched::new`: now + 6 s). On sockets, share 4 s, an appliance that had left 7 s before the start: 46 and 34 deliveries went to it from two of six agents (a test, before the change). Found on the way: commands waited in `may_serve` for up to 2 s whatever their own time; of 0.4 s they were answered after up to 1.7 s (the same test). And a start whose discovery cannot be reached fell silent for good once two calls were over 6 s apart (`Vouched::ended`, `t > self.begun`).

Ruled out: the age of the list told by anything that a start holds; how many start at once is told by nothing either.

Changed: a start vouches for nothing until its first call has ended: answered, it serves; refused, not until it is heard; not reached, or silent for 3 s, for 6 s from that call on by its list, and so after each further one. Commands wait at the module until half of their time, where they are asked for. Where the share is over 3 s the first call falls within three quarters of it, 3 s at least, so that nobody who is answered waits for 4 s (a share of 5 s would have 22% do, where one agent in ten may); up to 3 s calls go out as before. Calls at once, as a command waits, would cost 0.1 s in place of 1.9 s on the mean where a tenth starts, but 5.2 times the told calls in a second where all do, four times what the standing test bounds: not taken.

Tests: in calls.rs starts of 30, 300 and 770 agents with shares of 1, 3 and 5 s, before a tenth, once and three times what is told (before the change 26 of 30 send unheard in the first case); a start that cannot reach discovery; in refused.rs the case above, with discovery down too. Changed tests in calls.rs, all as strict or stricter: starts could serve by `known`, so the bound for refused starts was the refusal and for others 6 s; now it is the start itself, and none may send before it was heard. That no start that was not refused goes without can hold no longer; it may deny no command that came after half of its time before the answer. Commands that are not sent at once are kept and asked about again, as the agent does; for a move and a silence each must go out as it comes, as before. A discovery of under one call a second could never answer in that model: it keeps one call.

The hollow agents of the lab start as the agent does.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -257,7 +257,8 @@
         }
     }
 
-    /// Ready once commands may go by the list that is known. Guards a new process that was given an old one.
+    /// Ready once commands may go by the list that is known, as far as the module vouches for it. Guards a new process that was
+    /// given an old one.
     pub async fn may_serve(&self) {
         while !self.heard.get() {
             self.first_heard.listen().await;
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -31,8 +31,8 @@
 type Told = (Listing, bool);
 
 pub async fn run(agent: &Agent) {
-    let (mut moves, mut again) = (agent.discovery_moves.seen(), None);
-    let mut watch = Watch::new(agent);
+    let (moves, mut watch) = (agent.discovery_moves.seen(), Watch::new(agent));
+    let (mut moves, mut again) = (moves, watch.starts(agent.clock.now()));
     loop {
         let due = async {
             match again {
@@ -94,6 +94,11 @@
         }
     }
 
+    /// When discovery is first called; none where the module says.
+    fn starts(&mut self, now: Duration) -> Option<Duration> {
+        self.watchdog.starts().map(|gap| now + gap)
+    }
+
     /// Settings may have been read anew.
     fn renew(&mut self, now: Duration) {
         let d = &self.agent.site().deployment;
@@ -135,7 +140,11 @@
         let again = self.watchdog.again(ended).map(|gap| now + gap);
         match again {
             Some(_) => agent.counters.list_failures.add(),
-            None => agent.hand.list_failed(),
+            None => {
+                // What the module said before is no more.
+                agent.watch_due.set(false);
+                agent.hand.list_failed();
+            }
         }
         again
     }
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -64,17 +64,12 @@
         let a = agent.clone();
         let ready = async move {
             let warm = async {
-                let watchdog = Watchdog::new(&a.site().deployment);
-                let (b, free) = (a.clone(), watchdog.free());
-                let heard = async move {
-                    b.until(b.clock.now() + watchdog.start_within()).or(b.may_serve()).await;
-                    b.heard();
-                };
-                // Where calls are paid for, connections do not wait for an answer; commands do.
-                match free {
-                    true => heard.await,
-                    false => a.tasks.spawn(heard).detach(),
+                // Where calls are paid for, commands and connections do not wait here: nothing is vouched for yet, so that the
+                // module sends nothing and denies at half of a command's time.
+                if let Some(within) = Watchdog::new(&a.site().deployment).start_within() {
+                    a.until(a.clock.now() + within).or(a.may_serve()).await;
                 }
+                a.heard();
                 delivery::warm(&a).await;
             };
             warm.or(a.until(a.clock.now() + READY_WITHIN)).await;
--- a/crates/agent/tests/refused.rs
+++ b/crates/agent/tests/refused.rs
@@ -111,3 +111,69 @@
     assert_eq!(anew.asked_whole(), 1);
     assert!(last.unwrap() < moved + ms(2500), "what it lacks is gone");
 }
+
+/// An agent at its start whose share of the calls is 4 s, before a discovery that told 7 s ago that `s-0` has left, which the
+/// process before was not told: its `known` names it.
+fn starts_unaware(seed: &str, down: bool) -> (World, Program, Instant) {
+    let mut world = World::new(&["a"], program::lanes()).unwrap();
+    world.agents = 4; // one call a second is told for all
+    for n in 0..3 {
+        world.appliance(0, &format!("s-{n}"), 41, Ways::default()).unwrap();
+    }
+    let mut configuration = world.configuration("n1", 0).unwrap();
+    configuration["settings"]["discovery"] = "ask".into();
+    configuration["settings"]["rules"]["must-ask-in-ms"] = 10_000.0.into();
+    configuration["seed"] = seed.into();
+    world.discovery.change("s-0", |e| e.state = "terminated".into());
+    if down {
+        world.discovery.manner(Manner::Down);
+    }
+    sleep(ms(7000));
+    let begun = Instant::now();
+    let agent = Program::start(BINARY, configuration, &[]).unwrap();
+    (world, agent, begun)
+}
+
+/// Guards the rule on drains, and the time of commands that wait meanwhile. Denies what comes before the first answer.
+#[test]
+fn a_start_that_is_spread_over_four_seconds_sends_nothing_to_who_left_before_it() {
+    let play = |seed: &str| {
+        let (world, agent, begun) = starts_unaware(seed, false);
+        let mut client = Caller::connect(agent.address().unwrap()).unwrap();
+        let (mut first, mut served, mut denied, mut slowest) = (None, 0, 0, ms(0));
+        while begun.elapsed() < ms(5000) {
+            let asked = Instant::now();
+            client.ask("view", 400);
+            match client.told().unwrap().code() {
+                None => {
+                    first.get_or_insert(begun.elapsed());
+                    served += 1;
+                }
+                Some(_) => denied += 1,
+            }
+            slowest = slowest.max(asked.elapsed());
+            sleep(ms(5));
+        }
+        assert_eq!(world.get("s-0").unwrap().seen().len(), 0, "seed {seed}: it left 7 s before the start");
+        assert!(slowest < ms(400 + 300), "seed {seed}: answered after {slowest:?}, of 0.4 s");
+        assert!(served > 20, "seed {seed}: {served} served, {denied} denied");
+        first.unwrap()
+    };
+    let plays = ["8c1f", "1", "2", "3", "4", "5"];
+    let first: Vec<Duration> = std::thread::scope(|s| {
+        let all: Vec<_> = plays.into_iter().map(|seed| s.spawn(move || play(seed))).collect();
+        all.into_iter().map(|p| p.join().unwrap()).collect()
+    });
+    // Otherwise nothing is shown: commands were held for 2 s in any case.
+    assert!(first.iter().any(|t| *t > ms(2200)) && first.iter().all(|t| *t < ms(4000)), "{first:?}");
+}
+
+/// Guards against a start that a discovery which is down keeps silent.
+#[test]
+fn a_start_whose_discovery_is_down_serves_by_its_list() {
+    let (world, agent, begun) = starts_unaware("8c1f", true);
+    ask_until(&world, &agent, begun + ms(4000));
+    let (served, denied, _) = ask_until(&world, &agent, begun + ms(14_000));
+    assert!(served > 300 && denied == 0, "{served} served, {denied} denied");
+    assert!(!agent.log().contains("nothing is sent"), "{}", agent.log());
+}
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -206,6 +206,7 @@
             counts: Counts::default(),
             looked: 0,
         };
+        hollow.starts(now);
         hollow.push(now, What::Due);
         hollow.push(now, What::Quiet);
         hollow.arrive(now);
@@ -454,7 +455,19 @@
                 (self.begins, self.again) = (self.begins + 1, true);
                 self.push(now + gap, What::Begin(self.begins));
             }
-            None => self.choice.list_failed(now),
+            None => {
+                self.due = false;
+                self.choice.list_failed(now);
+            }
+        }
+    }
+
+    /// As a process begins: what is vouched for, and when discovery is first called.
+    fn starts(&mut self, now: Duration) {
+        self.choice.vouched = self.vouched.until();
+        if let Some(gap) = self.watchdog.starts() {
+            (self.begins, self.again) = (self.begins + 1, true);
+            self.push(now + gap, What::Begin(self.begins));
         }
     }
 
@@ -587,6 +600,7 @@
         self.list = List::default();
         self.commands.clear();
         (self.due, self.again, self.owes) = (false, false, [false; 2]);
+        self.starts(now);
         let begun = cpu();
         let told = Listing::parse(known);
         self.meter.spent(now, Work::Reading, begun);
--- a/crates/membership/src/watchdog.rs
+++ b/crates/membership/src/watchdog.rs
@@ -42,10 +42,12 @@
 /// lists are pushed, and a third of the 6 s where they are asked for.
 const MOVED_WITHIN: Duration = ms(2000);
 
-/// How long a start waits for a first answer before it serves by the list it was given. Where calls are paid for: guards
-/// against the list of a process that was not heard itself, as whatever that one missed binds the new one, too.
+/// How long a start waits for a first answer before it serves by the list it was given, where lists are pushed.
 const START_WITHIN: Duration = ms(300);
-const ASKED_START_WITHIN: Duration = ms(2000);
+/// A start sends nothing before its first call has ended (`Vouched`), so where the share of the calls is longer than this the call
+/// is not put off beyond this or three quarters of the share, whichever is longer: nobody waits for 4 s who is answered, and all
+/// that start at once, none of which knows of the others, make a third more calls than are told at most.
+const FIRST_WITHIN: Duration = ms(3000);
 
 /// A change counts as told so long after discovery had it and could be reached, or so long after the wait of a call,
 /// whichever is later, however calls have failed.
@@ -61,6 +63,12 @@
     }
 }
 
+/// Over so long the first calls of starts are spread, where that is not the agent's whole share.
+fn first(d: &Deployment) -> Option<Duration> {
+    let share = call_share(d);
+    (share > FIRST_WITHIN).then(|| FIRST_WITHIN.max(share * 3 / 4))
+}
+
 /// How a watch ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -76,8 +84,9 @@
 
 pub struct Watchdog {
     pushed: bool,
-    longest: Duration, // wait of a call
-    spread: Duration,  // of first calls at a new address
+    longest: Duration,       // wait of a call
+    spread: Duration,        // of first calls at a new address
+    first: Option<Duration>, // the same of a start
     rng: Pcg64Mcg,
     told: bool, // since the last call that failed
 }
@@ -85,14 +94,14 @@
 impl Watchdog {
     pub fn new(d: &Deployment) -> Watchdog {
         let rng = Pcg64Mcg::seed_from_u64(d.seed);
-        let spread = call_share(d).min(MOVED_WITHIN);
-        Watchdog { pushed: !d.list_shared, longest: longest(d), spread, rng, told: false }
+        let (spread, first) = (call_share(d).min(MOVED_WITHIN), first(d));
+        Watchdog { pushed: !d.list_shared, longest: longest(d), spread, first, rng, told: false }
     }
 
     /// Goes on under settings that were read anew.
     pub fn renew(&mut self, d: &Deployment) {
         (self.pushed, self.longest) = (!d.list_shared, longest(d));
-        self.spread = call_share(d).min(MOVED_WITHIN);
+        (self.spread, self.first) = (call_share(d).min(MOVED_WITHIN), first(d));
     }
 
     /// Calls are free: the list is asked for at once, and again and again while no answer comes.
@@ -137,14 +146,15 @@
         }
     }
 
+    /// How long after its start an agent first calls, by chance; none where the module says, over the share or at once.
+    pub fn starts(&mut self) -> Option<Duration> {
+        self.first.map(|spread| spread.mul_f64(self.rng.gen_range(0.0..1.0)))
+    }
+
     /// Commands that come before a first answer wait for it for so long: what discovery holds counts as told from
-    /// the first moment of a process where lists are pushed.
-    pub fn start_within(&self) -> Duration {
-        if self.pushed {
-            START_WITHIN
-        } else {
-            ASKED_START_WITHIN
-        }
+    /// the first moment of a process where lists are pushed. None where `Vouched` says what may be sent.
+    pub fn start_within(&self) -> Option<Duration> {
+        self.pushed.then_some(START_WITHIN)
     }
 
     /// An answer came.
@@ -188,13 +198,16 @@
     begun: Duration, // the call that is under way
     stood: bool,     // the watch was answered
     heard: bool,     // ever
+    refused: bool,   // ever
 }
 
 impl Vouched {
     /// A start, by the list that it was given. How old that is cannot be known: the process before it may have been refused
-    /// for long, and what it missed binds this one, too. So it is kept to only until a call of its own is refused.
+    /// for long, and what it missed binds this one from its first moment. Guards drains: nothing is vouched for until a first
+    /// call has shown that discovery cannot be reached, or was answered. Harms a start whose list lacks nothing.
     pub fn new(d: &Deployment, now: Duration) -> Vouched {
-        Vouched { until: d.list_shared.then_some(now + TOLD_WITHIN), begun: now, stood: false, heard: false }
+        let until = d.list_shared.then_some(now);
+        Vouched { until, begun: now, stood: false, heard: false, refused: false }
     }
 
     /// Goes on under settings that were read anew: what was not heard under the earlier ones counts 6 s from now.
@@ -226,12 +239,13 @@
 
     /// The call that is under way failed.
     pub fn ended(&mut self, now: Duration, ended: Ended) {
+        self.refused |= ended == Ended::Refused;
         let until = |t: Duration| match (self.stood, ended) {
             // Since when is not known; its wait says how long that may be.
             (true, Ended::Silent) => t,
             (true, _) => now + TOLD_WITHIN,
             // It could not be reached as the call went out. After a start that was refused that vouches for nothing.
-            (false, Ended::Silent | Ended::Broken) if self.heard || t > self.begun => {
+            (false, Ended::Silent | Ended::Broken) if self.heard || !self.refused => {
                 t.max(self.begun + TOLD_WITHIN)
             }
             (false, Ended::Silent | Ended::Broken) => t,
--- a/crates/membership/tests/calls.rs
+++ b/crates/membership/tests/calls.rs
@@ -15,6 +15,8 @@
 /// What is missed counts as told so long after; after SIGHUP this much later.
 const TOLD: Duration = ms(6000);
 const MOVED_TOLD: Duration = ms(4000);
+/// The time of a command; at half of it it is denied where it cannot be sent.
+const COMMAND: Duration = ms(1000);
 
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -41,9 +43,10 @@
     heard: Option<Duration>,
     sent: Option<Duration>, // the last delivery before it was heard
     sends: bool,            // since it was heard
+    open: Vec<u64>,
+    held: u64, // commands that were not sent as they came
     denied: u64,
     refused: bool,
-    silenced: Option<Duration>, // since when a start that was refused must send nothing
 }
 
 /// What became of a fleet.
@@ -86,7 +89,8 @@
             moved = BEGIN + ms(rng.gen_range(0..2000));
             bound = moved + MOVED_TOLD;
         }
-        let (again, heard, sent) = (None, None, None);
+        let again = watchdog.starts().filter(|_| event == Event::Start).map(|gap| BEGIN + gap);
+        let (heard, sent) = (None, None);
         Agent {
             choice,
             watchdog,
@@ -98,13 +102,14 @@
             heard,
             sent,
             sends: false,
+            open: Vec::new(),
+            held: 0,
             denied: 0,
             refused: false,
-            silenced: None,
         }
     };
     let mut agents: Vec<Agent> = (0..agents).map(each).collect();
-    let most = bears;
+    let most = bears.max(1.0);
     let (mut spare, mut tries) = (most, vec![0; 120]);
     for step in 0..12_000 {
         let now = BEGIN + STEP * step;
@@ -136,9 +141,6 @@
                     } else {
                         a.vouched.ended(now, Ended::Refused);
                         a.refused = true;
-                        if event == Event::Start {
-                            a.silenced.get_or_insert(now);
-                        }
                         a.again = a.watchdog.again(Ended::Refused).map(|gap| now + gap);
                         if a.again.is_none() {
                             a.choice.list_failed(now);
@@ -149,7 +151,17 @@
             }
             // Each asks five times a second, apart.
             if a.heard.is_none_or(|t| now < t + ms(500)) && (step as usize + i).is_multiple_of(20) {
-                ask(a, now, u64::from(step));
+                let id = u64::from(step);
+                let (lane, left) = (0, COMMAND);
+                let command = Command { lane, customer: None, key: None, left, work: None, again: false };
+                a.choice.take(now, id, command);
+                a.open.push(id);
+                place(a, now);
+                a.held += u64::from(a.open.contains(&id));
+            }
+            // What waits is looked at ten times a second.
+            if (step as usize + i).is_multiple_of(10) {
+                place(a, now);
             }
         }
         if agents.iter().all(|a| a.sends) {
@@ -159,15 +171,20 @@
     Day { agents, tries }
 }
 
-fn ask(a: &mut Agent, now: Duration, id: u64) {
-    let command = Command { lane: 0, customer: None, key: None, left: ms(1000), work: None, again: false };
-    a.choice.take(now, id, command);
-    match a.choice.place(now, id) {
-        Answer::Send { .. } if a.heard.is_some() => a.sends = true,
-        Answer::Send { .. } => a.sent = Some(now),
-        _ => a.denied += 1,
+/// Asks what becomes of the commands that are open.
+fn place(a: &mut Agent, now: Duration) {
+    for id in std::mem::take(&mut a.open) {
+        match a.choice.place(now, id) {
+            Answer::Send { .. } if a.heard.is_some() => a.sends = true,
+            Answer::Send { .. } => a.sent = Some(now),
+            Answer::NotYet { .. } => {
+                a.open.push(id);
+                continue;
+            }
+            _ => a.denied += 1,
+        }
+        a.choice.left(id);
     }
-    a.choice.left(id);
 }
 
 /// Before a discovery that bears one call of each agent in `span` seconds, which is what the settings tell, or in `tight`,
@@ -188,9 +205,13 @@
                 "{of}: {most} calls in a second, {bears} borne"
             );
             assert!(all as f64 <= f64::from(agents) * (1.05 + 0.3 * over), "{of}: {all} calls");
-            // Where all are heard in time nobody goes without, but starts that were refused.
-            let denied = day.agents.iter().filter(|a| !a.refused || event != Event::Start).map(|a| a.denied);
-            assert_eq!(denied.sum::<u64>(), 0, "{of}");
+            // Where all are heard in time nobody goes without, but starts: those send nothing before, and nothing waits for longer.
+            let held = day.agents.iter().filter(|_| event != Event::Start).map(|a| a.held);
+            assert_eq!(held.sum::<u64>(), 0, "{of}");
+            for a in &day.agents {
+                let waited = a.heard.unwrap().saturating_sub(BEGIN + COMMAND / 2).as_secs_f64();
+                assert!(a.denied as f64 <= waited * 5.0 + 1.0, "{of}: {} denied in {waited} s", a.denied);
+            }
         }
     }
 }
@@ -225,6 +246,8 @@
         let bound = |a: &Agent| match event {
             // Lists that are asked for count 6 s after the move; what it heard before that is no news.
             Event::Move => a.moved + TOLD,
+            // What the process before it missed binds it from its first moment.
+            Event::Start => BEGIN,
             _ => a.bound,
         };
         let late = day.agents.iter().filter(|a| a.heard.is_none_or(|t| t > bound(a) + ms(200))).count();
@@ -233,8 +256,8 @@
             let (bound, heard) = (bound(a), a.heard.expect("each is heard in the end"));
             // Who is heard at once has nothing to send before.
             let sent = a.sent.unwrap_or(BEGIN);
-            // A start does not know how old its list is: a refusal is enough.
-            let bound = a.silenced.map_or(bound, |t| t.min(bound));
+            // A start does not know how old its list is.
+            assert!(event != Event::Start || a.sent.is_none(), "{event:?}: sent {:?}", sent - BEGIN);
             assert!(sent <= bound, "{event:?}: sent {:?} after it counted", sent - bound);
             // Nobody goes without for longer than that: its commands come 0.2 s apart.
             let last = bound.min(heard);
@@ -263,3 +286,62 @@
         assert!(mean < ms(350) && worst < ms(4000), "{agents}: {mean:?} on the mean, {worst:?} at worst");
     }
 }
+
+/// Starts by a list of unknown age, which the process before may have missed any change of: 30, 300 and 770 at once, by rates that
+/// are told that spread their calls over 1, 3 and 5 s, before discoveries that bear a tenth, once and three times the rate told.
+#[test]
+fn a_start_sends_nothing_by_a_list_of_unknown_age_before_discovery_was_heard() {
+    for (agents, share) in [30u32, 300, 770].into_iter().flat_map(|n| [1.0, 3.0, 5.0].map(|s| (n, s))) {
+        let told = f64::from(agents) / share;
+        for times in [0.1, 1.0, 3.0] {
+            let bears = told * times;
+            // Where all wait for long one fleet of this size shows enough.
+            for seed in 1..if times < 1.0 { 2 } else { 4 } {
+                let day = play(Event::Start, agents, bears, told, seed);
+                let of = format!("{agents} agents, share {share} s, {times} times borne, seed {seed}");
+                let sent = day.agents.iter().filter_map(|a| a.sent).collect::<Vec<_>>();
+                assert!(sent.is_empty(), "{of}: {} send unheard, up to {:?}", sent.len(), sent.iter().max());
+                // What discovery bears is used: the last is heard not much later than if every call had come in turn.
+                let last =
+                    day.agents.iter().map(|a| a.heard.expect("each is heard in the end") - BEGIN).max();
+                let (last, need) = (last.unwrap().as_secs_f64(), f64::from(agents) / bears);
+                assert!(last <= if times < 1.0 { need * 1.35 } else { 6.0 }, "{of}: the last after {last} s");
+                // A third more than are told at first, and chance; refused ones try again, a quarter of the share later at least.
+                let (most, all) = (*day.tries.iter().max().unwrap() as f64, day.tries.iter().sum::<usize>());
+                let (second, each) = if times < 1.0 { (told * 3.5, 9.0) } else { (told * 4.0 / 3.0, 1.3) };
+                assert!(most <= second + 3.0 * second.sqrt() + 1.0, "{of}: {most} calls in a second");
+                assert!(all as f64 <= f64::from(agents) * each, "{of}: {all} calls");
+                // At most one in ten goes without for 4 s, where discovery bears those calls.
+                let without = |a: &&Agent| a.heard.is_some_and(|t| t > BEGIN + ms(4000));
+                let without = day.agents.iter().filter(without).count();
+                assert!(times <= 1.0 || without * 10 <= agents as usize, "{of}: {without} wait for 4 s");
+            }
+        }
+    }
+}
+
+/// Guards a start from silence for good: what a discovery holds that cannot be reached does not count.
+#[test]
+fn a_start_whose_discovery_cannot_be_reached_serves_by_its_list_for_as_long() {
+    let d = deployment(5, 1.0, 1);
+    for ended in [Ended::Broken, Ended::Silent] {
+        let mut vouched = Vouched::new(&d, BEGIN);
+        assert_eq!(vouched.until(), Some(BEGIN), "nothing before its first call");
+        for n in 1..20 {
+            // Further apart than what one call vouches for.
+            let (begun, failed) = (BEGIN + ms(10_000 * n), BEGIN + ms(10_000 * n + 100));
+            vouched.begins(begun);
+            vouched.ended(failed, ended);
+            assert_eq!(vouched.until(), Some(begun + TOLD), "{ended:?}, call {n}");
+        }
+        // It was there: what it holds counts from then on.
+        vouched.begins(BEGIN + ms(201_000));
+        vouched.ended(BEGIN + ms(201_100), Ended::Refused);
+        assert!(vouched.until().is_some_and(|t| t <= BEGIN + ms(201_100)));
+        vouched.begins(BEGIN + ms(203_000));
+        vouched.ended(BEGIN + ms(203_100), ended);
+        assert!(vouched.until().is_some_and(|t| t <= BEGIN + ms(201_100)), "{ended:?} after a refusal");
+        vouched.told(BEGIN + ms(205_000), ms(1000));
+        assert_eq!(vouched.until(), Some(BEGIN + ms(211_000)));
+    }
+}
