--- a/crates/membership/src/watchdog.rs
+++ b/crates/membership/src/watchdog.rs
@@ -188,7 +188,8 @@
 ///
 /// The reckoning: with N agents, a discovery that begins B watches a second, and S = N / B, all are heard within S of calling
 /// at once, and a little for calls that came in vain, if tries are close enough to fill what it bears. The first calls of a
-/// start are spread over the agent's share of the calls (N / rate told, half of the time to ask in at most), those at a new
+/// start are spread over the agent's share of the calls (N / rate told, half of the time to ask in at most), where that is
+/// over 3 s over three quarters of it and 3 s at least, those at a new
 /// address over that or 2 s, those after a silence of all over nearly twice the time to ask in. After a refusal the next try
 /// comes a quarter of the share later (0.25 s at least), by chance 0.7 to 1.3 of it, then half as much more each time up to
 /// the share (2 s at least). So all are heard within the 6 s while S is up to 3 s. Beyond, the last are not, and vouch for nothing
