--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -2,6 +2,7 @@
 
 use crate::lifecycle::life::{Life, Party};
 use crate::lifecycle::start::Start;
+use crate::logs::EVIDENCE;
 use crate::memory::border::Border;
 use crate::memory::counters::Counters;
 use crate::memory::hand::Hand;
@@ -116,6 +117,13 @@
             owed_until: Cell::default(),
         });
         agent.hand.watch(&agent.site().deployment, start.watch.as_ref());
+        let (now, site) = (agent.clock.now(), agent.site());
+        let (agents, r) = (site.deployment.agents, &site.deployment.rollout);
+        log::debug!(target: EVIDENCE, "{} start agents {agents} back {} hold {}", agent.clock.wall(now), r.back_votes,
+            r.hold_votes);
+        let quoted: Vec<_> =
+            site.deployment.lanes.iter().map(|l| (l.quoted.as_millis(), l.benefit)).collect();
+        log::debug!(target: EVIDENCE, "{} lanes {quoted:?}", agent.clock.wall(now));
         if let Some(told) = start.news {
             agent.news(told);
         }
@@ -223,7 +231,10 @@
     }
 
     pub fn news(&self, t: Told) {
-        let began = self.clock.now().saturating_sub(t.age);
+        let now = self.clock.now();
+        let began = now.saturating_sub(t.age);
+        log::debug!(target: EVIDENCE, "{} news build {} stage {} {:?} since {}", self.clock.wall(now), t.build, t.stage,
+            t.phase, self.clock.wall(began));
         self.hand.news(News { build: t.build, stage: t.stage, phase: t.phase, cap: t.cap, began });
         self.border.alive(|| self.builds());
     }
--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -3,6 +3,7 @@
 use crate::agent::Agent;
 use crate::client::lane;
 use crate::delivery::{deliver, Order};
+use crate::logs::EVIDENCE;
 use crate::memory::border::Meter;
 use crate::reactor::Timer;
 use crate::wire::connection::Connection;
@@ -28,12 +29,25 @@
     Left,
 }
 
+impl Final {
+    fn name(&self) -> &'static str {
+        match self {
+            Final::Satisfied(_) => "Satisfied",
+            Final::Denied(_) => "Denied",
+            Final::Scrapped => "Scrapped",
+            Final::Left => "Left",
+        }
+    }
+}
+
 type Ended = (Outcome, Vec<u8>);
 
 /// A delivery that is out.
 struct Out {
     sent: Duration,
     give_up: Duration,
+    lane: usize,
+    build: u32,
     meter: Rc<Meter>,
     ticket: Option<Ticket>,
     ends: Pin<Box<dyn Future<Output = Ended>>>,
@@ -119,6 +133,9 @@
             }
         };
     };
+    let now = agent.clock.now();
+    log::debug!(target: EVIDENCE, "{} command lane {lane} {} {} us work {} us",
+        agent.clock.wall(now), end.name(), now.saturating_sub(heard).as_micros(), work.unwrap_or_default().as_micros());
     // Nothing goes out for it from now on. What has gone and may not be withdrawn ends by itself, and the module
     // hears of it.
     for n in 0..out.len() {
@@ -145,7 +162,7 @@
     let (give_up, meter) = (sent + time_out, Rc::new(Meter::default()));
     let Some(target) = agent.target(appliance) else {
         let ends = Box::pin(async { (Outcome::NotSent, Vec::new()) });
-        return Out { sent, give_up, meter, ticket: None, ends };
+        return Out { sent, give_up, lane: sending.lane, build: 0, meter, ticket: None, ends };
     };
     let trial = agent.hand.on_trial(target.build);
     let sending = Sending { to: target.zone, build: target.build, trial, ..sending };
@@ -159,6 +176,8 @@
     Out {
         sent,
         give_up,
+        lane: sending.lane,
+        build: target.build,
         meter,
         ticket,
         ends: Box::pin(async move { deliver(&agent, &statement, order, &on).await }),
@@ -173,10 +192,13 @@
 impl Out {
     /// It is over: what it did goes into the account of what crosses.
     fn account(self, agent: &Agent, outcome: Outcome) {
-        let Out { sent, meter, ticket, ends, .. } = self;
+        let Out { sent, lane, build, meter, ticket, ends, .. } = self;
         drop(ends);
         let now = agent.clock.now();
-        agent.border.ended(now, ticket.as_ref(), &meter, outcome, now.saturating_sub(sent));
+        let took = now.saturating_sub(sent);
+        log::debug!(target: EVIDENCE, "{} delivery lane {lane} build {build} {outcome:?} {} us",
+            agent.clock.wall(now), took.as_micros());
+        agent.border.ended(now, ticket.as_ref(), &meter, outcome, took);
     }
 }
 
--- a/crates/agent/src/logs.rs
+++ b/crates/agent/src/logs.rs
@@ -5,6 +5,10 @@
 use std::io::Write;
 use tulipwall_deployment::LogForm;
 
+/// Target of what a verdict on a build rests on, a line each at `debug`: how deliveries and commands ended, flags, news
+/// and votes, with the Unix time in milliseconds. Off unless `RUST_LOG` names it (`RUST_LOG=info,evidence=debug`).
+pub const EVIDENCE: &str = "evidence";
+
 /// Begins to log; `RUST_LOG` sets what, `info` unless set. Only the first call counts.
 pub fn begin(form: LogForm) {
     let mut builder = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -3,6 +3,7 @@
 
 use crate::agent::Agent;
 use crate::lifecycle::life::Party;
+use crate::logs::EVIDENCE;
 use crate::wire::connection::Connection;
 use crate::wire::platform::{self, Line};
 use crate::wire::Malformed;
@@ -11,7 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tulipwall::{Reply, Tally};
+use tulipwall::{Reply, Tally, Vote};
 
 /// A sign of life is due every second: without one for as long as this the connection is opened anew.
 const SILENT: Duration = Duration::from_millis(3500);
@@ -135,6 +136,9 @@
                     agent.hand.reply(Reply::Refused);
                     return e.to_string();
                 }
+                let Vote { build, stage, verdict } = &vote;
+                let now = agent.clock.wall(agent.clock.now());
+                log::debug!(target: EVIDENCE, "{now} vote build {build} stage {stage} {verdict:?}");
                 talk.vote = Some(id);
                 calls.vote.set(Some(id));
                 agent.counters.votes.add();
@@ -189,6 +193,8 @@
             Line::News(told) if all => agent.news(told),
             Line::Flag { appliance, lane, age } if all => {
                 if let (Some(a), Some(l)) = (agent.appliance(&appliance), agent.site().lane(&lane)) {
+                    let build = agent.target(a).map_or(0, |t| t.build);
+                    log::debug!(target: EVIDENCE, "{} flag lane {l} build {build}", agent.clock.wall(agent.clock.now()));
                     agent.hand.flag(a, l, age);
                 }
             }
@@ -204,6 +210,7 @@
                 }
                 if calls.vote.get() == Some(id) {
                     calls.vote.set(None);
+                    log::debug!(target: EVIDENCE, "{} vote {reply:?}", agent.clock.wall(agent.clock.now()));
                     agent.hand.reply(reply);
                 }
             }
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -4,6 +4,7 @@
 use crate::lifecycle::life::Phase;
 use crate::lifecycle::signals::{self, Signals};
 use crate::lifecycle::start::{Files, Start};
+use crate::logs::EVIDENCE;
 use crate::memory::pools::Slot;
 use crate::reactor::{self, Source, Timer};
 use crate::wire::connection::Connection;
@@ -179,6 +180,9 @@
         }
         agent.look_at_zones();
         due.notes.iter().for_each(|note| log::info!("{note}"));
+        for note in &due.notes {
+            log::debug!(target: EVIDENCE, "{} note {note}", agent.clock.wall(now));
+        }
         if now >= swept + Duration::from_secs(1) {
             agent.sweep();
             agent.forget_lanes();
--- a/crates/membership/src/clock.rs
+++ b/crates/membership/src/clock.rs
@@ -33,6 +33,11 @@
         self.start + at.saturating_sub(BEFORE)
     }
 
+    /// Its Unix time in milliseconds.
+    pub fn wall(&self, at: Duration) -> u64 {
+        (at + Duration::from_millis(self.start_ms)).saturating_sub(BEFORE).as_millis() as u64
+    }
+
     /// A Unix time in milliseconds; `None` when it lies before the clock's zero.
     pub fn of_wall(&self, ms: u64) -> Option<Duration> {
         (BEFORE + Duration::from_millis(ms)).checked_sub(Duration::from_millis(self.start_ms))
