--- a/crates/agent/src/logs.rs
+++ b/crates/agent/src/logs.rs
@@ -6,7 +6,8 @@
 use tulipwall_deployment::LogForm;
 
 /// Target of what a verdict on a build rests on, a line each at `debug`: how deliveries and commands ended, flags, news
-/// and votes, with the Unix time in milliseconds. Off unless `RUST_LOG` names it (`RUST_LOG=info,evidence=debug`).
+/// and votes, with the Unix time in milliseconds. Off unless `RUST_LOG` sets it (`info,evidence=debug`,
+/// or `debug` for all).
 pub const EVIDENCE: &str = "evidence";
 
 /// Begins to log; `RUST_LOG` sets what, `info` unless set. Only the first call counts.
--- /dev/null
+++ b/crates/agent/tests/evidence.rs
@@ -0,0 +1,57 @@
+//! The evidence that a verdict on a build rests on, as agents log it where that is asked for.
+
+use rustix::process::Signal;
+use std::time::Duration;
+use tulipwall_standins::ground::until;
+use tulipwall_standins::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_tulipwall-agent");
+
+/// A second of commands at an agent whose log has this filter: its log, with its counters in the end.
+fn logged(filter: &str) -> String {
+    let world = World::new(&["a"], lanes()).unwrap();
+    for n in 0..2 {
+        world.appliance(0, &format!("e-{n}"), 41, Ways::default()).unwrap();
+    }
+    world.platform.news(platform::News::now(41, 2, "released", 1.0));
+    let program = Program::start("env", world.configuration("n1", 0).unwrap(), &[filter, BINARY]).unwrap();
+    Caller::connect(program.address().unwrap()).unwrap();
+    Load {
+        agent: program.address().unwrap(),
+        rate: 150.0,
+        span: Duration::from_secs(1),
+        lanes: vec![("view".to_owned(), 1.0, Duration::from_millis(1500), false)],
+        connections: 32,
+        seed: 7,
+    }
+    .play();
+    program.signal(Signal::USR1).unwrap();
+    assert!(until(|| program.log().contains("commands: taken")), "{}", program.log());
+    program.log()
+}
+
+#[test]
+fn each_end_of_a_delivery_and_of_a_command_is_logged_where_evidence_is_asked_for_and_else_none() {
+    let log = logged("RUST_LOG=info,evidence=debug");
+    let lines = |begin: &str, with: &str| {
+        let said = log.lines().filter_map(|l| l.split_once("evidence] ")?.1.split_once(' '));
+        said.filter(|(_, s)| s.starts_with(begin) && s.contains(with)).count()
+    };
+    let counters = log.lines().find(|l| l.contains("commands: taken")).unwrap();
+    let counted = |word: &str| {
+        let after = counters.split_once("commands: ").unwrap().1.split_once(word).unwrap().1;
+        after.split_whitespace().next().unwrap().parse::<usize>().unwrap()
+    };
+    let (taken, satisfied) = (counted("taken "), counted("satisfied "));
+    assert!(taken > 100 && satisfied > 100, "{counters}");
+    assert_eq!(lines("command lane 0 ", ""), taken, "{counters}");
+    assert_eq!(lines("command lane 0 Satisfied", ""), satisfied, "{counters}");
+    assert_eq!(lines("delivery lane 0 build 41 ", " Satisfied "), satisfied, "{counters}");
+    assert!(
+        lines("news build 41 stage 2 Released", "") > 0 && lines("start agents ", " back ") == 1,
+        "{log}"
+    );
+
+    let quiet = logged("RUST_LOG=info");
+    assert!(!quiet.contains("evidence]"), "{quiet}");
+}
