A start sends nothing by the list it was given until its first call for the list has ended

At fault: `start_within` (2 s) in crates/membership/src/watchdog.rs, after which `program::run` let commands go by the list that was given, with the call still out. Now commands wait until the first call has ended: answered, they go by the answer; refused, nothing is vouched for; silent or broken, discovery cannot be reached and the old list stands. A command that waits is denied shortly before half of its time is over (`command::live`); before, it waited without a bound of its own.

--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -7,7 +7,7 @@
 use crate::reactor::Timer;
 use crate::wire::connection::Connection;
 use crate::wire::statement::Statement;
-use futures_lite::future::poll_fn;
+use futures_lite::future::{pending, poll_fn, FutureExt};
 use std::future::Future;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -39,6 +39,9 @@
     ends: Pin<Box<dyn Future<Output = Ended>>>,
 }
 
+/// So long before half of its time is over a command is denied that may not be served yet: beyond that it is paid for.
+const DENIED_BEFORE: Duration = Duration::from_millis(25);
+
 enum Next {
     Ended(usize, Duration, Ended),
     Look,
@@ -53,7 +56,24 @@
     statement: Statement,
     heard: Duration,
 ) -> Final {
-    agent.may_serve().await;
+    // Guards the rule on drains where calls for lists are paid for and the first has not ended: that may take seconds.
+    // Denies what is not served by then, while its retry is harmless.
+    let shared = agent.site().deployment.list_shared;
+    let most = shared.then(|| (heard + statement.wait / 2).saturating_sub(DENIED_BEFORE));
+    let late = async {
+        match most {
+            Some(most) => agent.until(most).await,
+            None => pending().await,
+        }
+        false
+    };
+    let serves = async {
+        agent.may_serve().await;
+        true
+    };
+    if !serves.or(late).await {
+        return Final::Denied(None);
+    }
     // Numbers are those of the settings in force as the module takes it, and stay its own to its end.
     let (lane, customer, repeats) = {
         let site = agent.site();
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -127,6 +127,10 @@
         }
         self.vouched.ended(now, ended);
         agent.hand.vouch(self.vouched.until());
+        // Where it refuses nothing is vouched for; where it cannot be reached a start need not wait for it.
+        if !self.watchdog.free() {
+            agent.heard();
+        }
         if self.vouched.until().is_some_and(|t| now >= t) && !std::mem::replace(&mut self.doubts, true) {
             log::warn!(
                 "discovery: {what}; who has left is not known any more, nothing is sent until it is heard"
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -65,15 +65,10 @@
         let ready = async move {
             let warm = async {
                 let watchdog = Watchdog::new(&a.site().deployment);
-                let (b, free) = (a.clone(), watchdog.free());
-                let heard = async move {
-                    b.until(b.clock.now() + watchdog.start_within()).or(b.may_serve()).await;
-                    b.heard();
-                };
                 // Where calls are paid for, connections do not wait for an answer; commands do.
-                match free {
-                    true => heard.await,
-                    false => a.tasks.spawn(heard).detach(),
+                if watchdog.free() {
+                    a.until(a.clock.now() + watchdog.start_within()).or(a.may_serve()).await;
+                    a.heard();
                 }
                 delivery::warm(&a).await;
             };
--- a/crates/agent/tests/refused.rs
+++ b/crates/agent/tests/refused.rs
@@ -98,6 +98,28 @@
     assert!(last.unwrap() < moved + TOLD_AFTER + GRACE, "s-0 left");
 }
 
+/// Guards the rule on drains where the process before was not heard and the first answer is late. Denies meanwhile.
+#[test]
+fn a_start_sends_nothing_by_the_list_it_was_given_while_its_first_call_is_under_way() {
+    let world = World::new(&["a"], program::lanes()).unwrap();
+    for n in 0..3 {
+        world.appliance(0, &format!("s-{n}"), 41, Ways::default()).unwrap();
+    }
+    let mut configuration = world.configuration("n1", 0).unwrap();
+    configuration["settings"]["discovery"] = "ask".into();
+    configuration["settings"]["rules"]["must-ask-in-ms"] = 10_000.0.into();
+    world.discovery.change("s-0", |e| e.state = "terminating".into());
+    world.discovery.hush([Meets::Late(ms(2700))]);
+    let started = Instant::now();
+    let agent = Program::start(BINARY, configuration, &[]).unwrap();
+    ask_until(&world, &agent, started + ms(2600));
+    let sent = world.seen().values().map(Vec::len).sum::<usize>();
+    assert_eq!((sent, world.discovery.asked()), (0, 0), "sent and asked before it was heard");
+    assert!(ground::until(|| world.discovery.asked() > 0));
+    let (served, _, last) = ask_until(&world, &agent, Instant::now() + ms(1000));
+    assert!(served > 10 && last.is_none(), "{served} served, by s-0 last at {last:?}");
+}
+
 /// Guards a discovery that counts its versions anew, where changes since a version of the other would say nothing.
 #[test]
 fn a_new_address_that_counts_versions_from_below_is_asked_for_the_whole_list() {
--- a/crates/membership/src/watchdog.rs
+++ b/crates/membership/src/watchdog.rs
@@ -42,10 +42,10 @@
 /// lists are pushed, and a third of the 6 s where they are asked for.
 const MOVED_WITHIN: Duration = ms(2000);
 
-/// How long a start waits for a first answer before it serves by the list it was given. Where calls are paid for: guards
-/// against the list of a process that was not heard itself, as whatever that one missed binds the new one, too.
+/// How long a start waits for a first answer before it serves by the list it was given. Where calls are paid for it waits
+/// until its first call has ended: the process before it may not have been heard itself, and whatever that one missed
+/// binds the new one, too.
 const START_WITHIN: Duration = ms(300);
-const ASKED_START_WITHIN: Duration = ms(2000);
 
 /// A change counts as told so long after discovery had it and could be reached, or so long after the wait of a call,
 /// whichever is later, however calls have failed.
@@ -137,14 +137,10 @@
         }
     }
 
-    /// Commands that come before a first answer wait for it for so long: what discovery holds counts as told from
-    /// the first moment of a process where lists are pushed.
+    /// Commands that come before a first answer wait for it for so long where calls are free: what discovery holds counts as
+    /// told from the first moment of a process there.
     pub fn start_within(&self) -> Duration {
-        if self.pushed {
-            START_WITHIN
-        } else {
-            ASKED_START_WITHIN
-        }
+        START_WITHIN
     }
 
     /// An answer came.
