--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -31,8 +31,8 @@
 type Told = (Listing, bool);
 
 pub async fn run(agent: &Agent) {
-    let (mut moves, mut again) = (agent.discovery_moves.seen(), None);
-    let mut watch = Watch::new(agent);
+    let (moves, mut watch) = (agent.discovery_moves.seen(), Watch::new(agent));
+    let (mut moves, mut again) = (moves, watch.starts(agent.clock.now()));
     loop {
         let due = async {
             match again {
@@ -94,6 +94,11 @@
         }
     }
 
+    /// When discovery is first called; none where the module says.
+    fn starts(&mut self, now: Duration) -> Option<Duration> {
+        self.watchdog.starts().map(|gap| now + gap)
+    }
+
     /// Settings may have been read anew.
     fn renew(&mut self, now: Duration) {
         let d = &self.agent.site().deployment;
@@ -127,10 +132,6 @@
         }
         self.vouched.ended(now, ended);
         agent.hand.vouch(self.vouched.until());
-        // Where it refuses nothing is vouched for; where it cannot be reached a start need not wait for it.
-        if !self.watchdog.free() {
-            agent.heard();
-        }
         if self.vouched.until().is_some_and(|t| now >= t) && !std::mem::replace(&mut self.doubts, true) {
             log::warn!(
                 "discovery: {what}; who has left is not known any more, nothing is sent until it is heard"
@@ -139,7 +140,11 @@
         let again = self.watchdog.again(ended).map(|gap| now + gap);
         match again {
             Some(_) => agent.counters.list_failures.add(),
-            None => agent.hand.list_failed(),
+            None => {
+                // What the module said before is no more.
+                agent.watch_due.set(false);
+                agent.hand.list_failed();
+            }
         }
         again
     }
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -4,6 +4,7 @@
 use crate::lifecycle::life::Phase;
 use crate::lifecycle::signals::{self, Signals};
 use crate::lifecycle::start::{Files, Start};
+use crate::logs::EVIDENCE;
 use crate::memory::pools::Slot;
 use crate::reactor::{self, Source, Timer};
 use crate::wire::connection::Connection;
@@ -16,8 +17,10 @@
 use tulipwall_deployment::LogForm;
 use tulipwall_membership::watchdog::Watchdog;
 
-/// How soon to look again for a free descriptor.
+/// Connections that may wait to be taken in, where there are fewer places: what the standard library asks for.
+const QUEUE_LEAST: usize = 128;
 const WATCH_EVERY: Duration = Duration::from_secs(60);
+/// How soon to look again for a free descriptor.
 const ROOM_AGAIN: Duration = Duration::from_millis(20);
 
 /// A start counts as done after so long, half of what nine in ten of them may take, whatever is still awaited: a list,
@@ -46,6 +49,10 @@
         let listener = TcpListener::bind(agent.listen)
             .map_err(|e| io::Error::new(e.kind(), format!("field listen: {}: {e}", agent.listen)))?;
         listener.set_nonblocking(true)?;
+        // Guards a rush while this agent does not get to run: whoever finds the queue full has its first packet dropped,
+        // which it sends again a second later. Harms where it stands still for long: more commands are late then.
+        let queue = agent.sockets.clients_most().max(QUEUE_LEAST);
+        rustix::net::listen(&listener, i32::try_from(queue).unwrap_or(i32::MAX))?;
         let listener = Rc::new(Source::new(listener)?);
         let opened = opening.as_ref().map(door::open).transpose();
         let opened = opened.map_err(|e| io::Error::new(e.kind(), format!("door: {e}")))?;
@@ -64,12 +71,12 @@
         let a = agent.clone();
         let ready = async move {
             let warm = async {
-                let watchdog = Watchdog::new(&a.site().deployment);
-                // Where calls are paid for, connections do not wait for an answer; commands do.
-                if watchdog.free() {
-                    a.until(a.clock.now() + watchdog.start_within()).or(a.may_serve()).await;
-                    a.heard();
+                // Where calls are paid for, commands and connections do not wait here: nothing is vouched for yet, so that the
+                // module sends nothing and denies at half of a command's time.
+                if let Some(within) = Watchdog::new(&a.site().deployment).start_within() {
+                    a.until(a.clock.now() + within).or(a.may_serve()).await;
                 }
+                a.heard();
                 delivery::warm(&a).await;
             };
             warm.or(a.until(a.clock.now() + READY_WITHIN)).await;
@@ -174,6 +181,9 @@
         }
         agent.look_at_zones();
         due.notes.iter().for_each(|note| log::info!("{note}"));
+        for note in &due.notes {
+            log::debug!(target: EVIDENCE, "{} note {note}", agent.clock.wall(now));
+        }
         if now >= swept + Duration::from_secs(1) {
             agent.sweep();
             agent.forget_lanes();
