The search for an agent's limit plays a step again in which the load itself was late

Seen: the_search_finds_the_rate_that_an_agent_keeps failed in 4 of 4 and 2 of 3 runs on a busy machine (`None` from `limit`), and passed in a quiet run of the whole suite. Cause: `Plan::limit` took a step as not kept in which one command in a hundred went out over 5 ms late, which is the load's own pace; at 40 a second over 1.2 s that is the latest of 48, and one stall of the machine ends the search at its first step. Change: such a step is played again, four times at most; only then its rate counts as not kept, as before. Test: a step during which the load's thread stands still for 0.15 s is played again and the rate found. It fails with one play, and so does the search beside it. In the old case the bound of 16 steps counts those that were in time; its other bounds are as they were.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -7,6 +7,8 @@
 
 /// A command that goes out later than this after it was due shows that the load itself does not keep up.
 const LATE_MS: f64 = 5.0;
+/// Plays of a step of a search in which the load did not keep up, before its rate counts as not kept.
+const TRIES: usize = 4;
 
 /// What is asked of an agent.
 #[derive(Clone, Debug)]
@@ -76,8 +78,9 @@
         Step { rate, span, answered: load.play() }
     }
 
-    /// The highest rate that keeps this p99, to within a twentieth, between two rates; each step is told. Nothing
-    /// where not even the lowest does.
+    /// The highest rate that keeps this p99, to within a twentieth, between two rates; each step is told. One in which the
+    /// load itself was late says nothing of the agent and is played again, some times at most. Nothing where not even the
+    /// lowest rate is kept.
     pub fn limit(
         &self,
         from: f64,
@@ -87,9 +90,13 @@
         mut tell: impl FnMut(&Step),
     ) -> Option<f64> {
         let mut keeps = |rate: f64| {
-            let step = self.step(rate, span);
-            tell(&step);
-            step.keeps(p99_ms) && !step.limited()
+            let step = || {
+                let step = self.step(rate, span);
+                tell(&step);
+                step
+            };
+            let in_time = std::iter::repeat_with(step).take(TRIES).find(|s| !s.limited());
+            in_time.is_some_and(|s| s.keeps(p99_ms))
         };
         if !keeps(from) {
             return None;
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -2,8 +2,8 @@
 
 use std::process::Command;
 use std::time::Duration;
-use tulipwall_lab::load::Plan;
-use tulipwall_standins::{Act, Appliance, Ways};
+use tulipwall_lab::load::{Plan, Step};
+use tulipwall_standins::{ground, Act, Appliance, Ways};
 
 fn plan(of: &Appliance) -> Plan {
     let view = ("view".to_owned(), 1.0, Duration::from_millis(1500), false);
@@ -30,12 +30,30 @@
     // Four cores of 20 ms: 200 a second at the very most.
     let agent = of(4);
     let mut steps = 0;
-    let found = plan(&agent).limit(40.0, 1600.0, Duration::from_millis(1200), 250.0, |_| steps += 1);
+    // Those in which the load itself was late are played again.
+    let in_time = |s: &Step| steps += usize::from(!s.limited());
+    let found = plan(&agent).limit(40.0, 1600.0, Duration::from_millis(1200), 250.0, in_time);
     let found = found.unwrap();
     assert!((60.0..=240.0).contains(&found) && steps < 16, "{found} after {steps} steps");
     assert_eq!(plan(&agent).limit(40.0, 80.0, Duration::from_millis(300), 1.0, |_| {}), None);
 }
 
+/// Guards a search against a machine that lets the load stand still for a moment: that tells nothing of the agent.
+#[test]
+fn a_step_in_which_the_load_stood_still_is_played_again() {
+    let agent = of(4);
+    let mut late = Vec::new();
+    let stands_still = async {
+        ground::sleep(Duration::from_millis(300)).await;
+        std::thread::sleep(Duration::from_millis(150));
+    };
+    ground::spawn(stands_still).detach();
+    let found =
+        plan(&agent).limit(40.0, 40.0, Duration::from_millis(1200), 250.0, |s| late.push(s.limited()));
+    assert_eq!(found, Some(40.0), "{late:?}");
+    assert!(late[0] && late.last() == Some(&false), "{late:?}");
+}
+
 #[test]
 fn each_step_is_a_line_of_json_with_what_was_not_answered() {
     let agent = Appliance::start(1, Ways { act: Act::TurnsAway, ..Ways::default() }, 1).unwrap();
