The queue of connections goes by the memory limit, too

Cause: the queue with a place for each client (program.rs, `listen`) lets in 500 clients at once in the place of 128; each has read up to a small buffer before reading is held back, and 16 KiB of it stay while it is told of its end. Change: places by a quarter of the memory for buffers at 16 KiB each, 4 for each MB of the limit, 128 at least: as before at 32 MB, 256 at 64.

--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -7,6 +7,7 @@
 use crate::logs::EVIDENCE;
 use crate::memory::pools::Slot;
 use crate::reactor::{self, Source, Timer};
+use crate::wire::buffer::KEPT;
 use crate::wire::connection::Connection;
 use crate::{client, delivery, discovery, door, logs, platform};
 use futures_lite::future::{self, FutureExt};
@@ -50,8 +51,10 @@
             .map_err(|e| io::Error::new(e.kind(), format!("field listen: {}: {e}", agent.listen)))?;
         listener.set_nonblocking(true)?;
         // Guards a rush while this agent does not get to run: whoever finds the queue full has its first packet dropped,
-        // which it sends again a second later. Harms where it stands still for long: more commands are late then.
-        let queue = agent.sockets.clients_most().max(QUEUE_LEAST);
+        // which it sends again a second later. Harms where it stands still for long: more commands are late then. All that
+        // wait are taken in at once, and each may hold a small buffer before it is held back: a quarter of that memory at most.
+        let bears = agent.buffers_most.get() / 4 / KEPT;
+        let queue = agent.sockets.clients_most().min(bears).max(QUEUE_LEAST);
         rustix::net::listen(&listener, i32::try_from(queue).unwrap_or(i32::MAX))?;
         let listener = Rc::new(Source::new(listener)?);
         let opened = opening.as_ref().map(door::open).transpose();
--- a/crates/agent/src/wire/buffer.rs
+++ b/crates/agent/src/wire/buffer.rs
@@ -37,8 +37,8 @@
 
 /// What is asked for at least when more is read.
 const READ: usize = 4096;
-/// An empty buffer that grew beyond this gives its memory back.
-const KEPT: usize = 16 * 1024;
+/// An empty buffer that grew beyond this many bytes gives its memory back.
+pub const KEPT: usize = 16 * 1024;
 
 #[derive(Default)]
 pub struct Buffer {
