--- a/review/src/agent.rs
+++ b/review/src/agent.rs
@@ -30,7 +30,9 @@
     let text = std::fs::read_to_string(root.join("deploy/balancer.toml"))?;
     let line = text.lines().find_map(|line| line.strip_prefix("run = \""));
     let command = line.and_then(|rest| rest.split('"').next());
-    command.map(str::to_owned).ok_or_else(|| io::Error::other("no `run` in deploy/balancer.toml"))
+    command
+        .map(str::to_owned)
+        .ok_or_else(|| io::Error::other("no `run` in deploy/balancer.toml"))
 }
 
 impl Agent {
@@ -39,7 +41,11 @@
         let root = root();
         let text = configuration["listen"].as_str().unwrap_or_default();
         let address: SocketAddr = text.parse().map_err(io::Error::other)?;
-        let folder = std::env::temp_dir().join(format!("tulipwall-review-{}-{}", std::process::id(), address.port()));
+        let folder = std::env::temp_dir().join(format!(
+            "tulipwall-review-{}-{}",
+            std::process::id(),
+            address.port()
+        ));
         std::fs::create_dir_all(&folder)?;
         let path = folder.join("config.json");
         std::fs::write(&path, configuration.to_string())?;
@@ -49,14 +55,24 @@
             .arg(run_command(&root)?)
             .current_dir(&root)
             .env("PROXY_CONFIG", &path)
-            .env("PROXY_NAME", configuration["name"].as_str().unwrap_or_default())
+            .env(
+                "PROXY_NAME",
+                configuration["name"].as_str().unwrap_or_default(),
+            )
             .env("PROXY_LISTEN", text)
-            .env("PROXY_DISCOVERY", configuration["discovery"].as_str().unwrap_or_default())
+            .env(
+                "PROXY_DISCOVERY",
+                configuration["discovery"].as_str().unwrap_or_default(),
+            )
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
-        let agent = Agent { child, address, folder };
+        let agent = Agent {
+            child,
+            address,
+            folder,
+        };
         agent.wait_until_ready()?;
         Ok(agent)
     }
@@ -75,7 +91,10 @@
     fn ask_empty_query(&self) -> io::Result<()> {
         let mut stream = TcpStream::connect(self.address)?;
         stream.set_read_timeout(Some(Duration::from_secs(8)))?;
-        crate::wire::write(&mut stream, &[crate::wire::startup(), crate::wire::query("")].concat())?;
+        crate::wire::write(
+            &mut stream,
+            &[crate::wire::startup(), crate::wire::query("")].concat(),
+        )?;
         while crate::wire::read_message(&mut stream)?.0 != b'I' {}
         Ok(())
     }
@@ -97,8 +116,14 @@
 
     /// Sends a signal by its name, such as `TERM`.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        let status = Command::new("kill").arg(format!("-{name}")).arg(self.id().to_string()).status()?;
-        status.success().then_some(()).ok_or_else(|| io::Error::other("kill failed"))
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.id().to_string())
+            .status()?;
+        status
+            .success()
+            .then_some(())
+            .ok_or_else(|| io::Error::other("kill failed"))
     }
 }
 
--- a/review/src/appliance.rs
+++ b/review/src/appliance.rs
@@ -38,7 +38,12 @@
     Ok(address)
 }
 
-fn serve(name: &str, connection: usize, mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
+fn serve(
+    name: &str,
+    connection: usize,
+    mut stream: TcpStream,
+    handler: &Handler,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     wire::read_startup(&mut stream)?;
     wire::write(&mut stream, &wire::startup_reply())?;
--- a/review/src/bin/foreign_answer.rs
+++ b/review/src/bin/foreign_answer.rs
@@ -58,22 +58,38 @@
         let handler = move |query: &appliance::Query, stream: &mut std::net::TcpStream| {
             let time = Duration::from_millis(44 + draw(&random) / 32);
             let place = format!("{} connection {}", query.appliance, query.connection);
-            record.line(&format!("{place} gets id {} of lane {}", query.id, query.class));
+            record.line(&format!(
+                "{place} gets id {} of lane {}",
+                query.id, query.class
+            ));
             if draw(&random) < spoilt {
-                record.line(&format!("{place} spoils the answer to id {}: a ready-for-query before it", query.id));
+                record.line(&format!(
+                    "{place} spoils the answer to id {}: a ready-for-query before it",
+                    query.id
+                ));
                 wire::write(stream, &wire::ready())?;
             }
             if !appliance::work(stream, time) {
                 record.line(&format!("{place} stops: id {} was cancelled", query.id));
                 return Err(std::io::ErrorKind::ConnectionAborted.into());
             }
-            record.line(&format!("{place} answers id {} with the value {}", query.id, query.object));
+            record.line(&format!(
+                "{place} answers id {} with the value {}",
+                query.id, query.object
+            ));
             wire::write(stream, &wire::value_reply(query.object.as_bytes()))
         };
         let address = appliance::start(&name, Arc::new(handler))?;
-        entries.push(entry(&name, address, ["akl-east", "akl-west"][n % 2], "std-4core", BUILD));
+        entries.push(entry(
+            &name,
+            address,
+            ["akl-east", "akl-west"][n % 2],
+            "std-4core",
+            BUILD,
+        ));
     }
-    let news = json!({"image": BUILD, "ring": 3, "progress": "released", "ceiling": 1.0, "lag_ms": 60000});
+    let news =
+        json!({"image": BUILD, "ring": 3, "progress": "released", "ceiling": 1.0, "lag_ms": 60000});
     let discovery = Discovery::start(entries)?;
     let platform = Platform::start(news.clone())?;
     let mut configuration = settings::configuration(
--- a/review/src/bin/keyed_twice.rs
+++ b/review/src/bin/keyed_twice.rs
@@ -52,12 +52,20 @@
         let now = self.record.now();
         let mut applied = self.applied.lock().unwrap();
         let times = applied.entry(key.clone()).or_default();
-        let is_repeat = times.last().is_some_and(|last| arrived < *last + WINDOW + SLACK);
+        let is_repeat = times
+            .last()
+            .is_some_and(|last| arrived < *last + WINDOW + SLACK);
         if is_repeat {
-            self.record.line(&format!("{} drops the repeat of key {key}, id {}", query.appliance, query.id));
+            self.record.line(&format!(
+                "{} drops the repeat of key {key}, id {}",
+                query.appliance, query.id
+            ));
         } else {
             times.push(now);
-            self.record.line(&format!("{} applies key {key}, id {}", query.appliance, query.id));
+            self.record.line(&format!(
+                "{} applies key {key}, id {}",
+                query.appliance, query.id
+            ));
         }
     }
 }
@@ -86,19 +94,29 @@
         let name = format!("s-{n:02}");
         let fleet = fleet.clone();
         let handler = move |query: &appliance::Query, stream: &mut std::net::TcpStream| {
-            fleet.record.line(&format!("{} gets id {} of lane {}", query.appliance, query.id, query.class));
+            fleet.record.line(&format!(
+                "{} gets id {} of lane {}",
+                query.appliance, query.id, query.class
+            ));
             let arrived = fleet.record.now();
             let time = Duration::from_millis(120 + fleet.draw() / 10);
             if !appliance::work(stream, time) {
-                fleet.record.line(&format!("{} stops: id {} was cancelled", query.appliance, query.id));
+                fleet.record.line(&format!(
+                    "{} stops: id {} was cancelled",
+                    query.appliance, query.id
+                ));
                 return Err(std::io::ErrorKind::ConnectionAborted.into());
             }
             fleet.apply(query, arrived);
             if fleet.draw() < failing * 10 {
-                fleet.record.line(&format!("{} fails id {}", query.appliance, query.id));
+                fleet
+                    .record
+                    .line(&format!("{} fails id {}", query.appliance, query.id));
                 wire::write(stream, &wire::error_reply("XX000", "failed"))
             } else {
-                fleet.record.line(&format!("{} satisfies id {}", query.appliance, query.id));
+                fleet
+                    .record
+                    .line(&format!("{} satisfies id {}", query.appliance, query.id));
                 wire::write(stream, &wire::value_reply(b"ok"))
             }
         };
@@ -107,7 +125,8 @@
         let kind = if n % 5 < 3 { "std-4c" } else { "slow-3c" };
         entries.push(entry(&name, address, hall, kind, BUILD));
     }
-    let news = json!({"image": BUILD, "ring": 3, "progress": "released", "ceiling": 1.0, "lag_ms": 60000});
+    let news =
+        json!({"image": BUILD, "ring": 3, "progress": "released", "ceiling": 1.0, "lag_ms": 60000});
     let discovery = Discovery::start(entries)?;
     let platform = Platform::start(news.clone())?;
     let configuration = settings::configuration(
@@ -119,7 +138,9 @@
         settings::push_core(),
     );
     let agent = Agent::start(&configuration)?;
-    record.line(&format!("the agent serves; {failing} in 100 statements of {LANE} fail"));
+    record.line(&format!(
+        "the agent serves; {failing} in 100 statements of {LANE} fail"
+    ));
     make_calls(&record, &agent)?;
     Ok(report(&record, &fleet))
 }
@@ -140,7 +161,14 @@
         let child = Command::new(root().join("target/release/tulipwall-call"))
             .arg("--service")
             .arg(&service)
-            .args([LANE, &format!("o{call:03}"), "--value", "9f03", "--key", &key])
+            .args([
+                LANE,
+                &format!("o{call:03}"),
+                "--value",
+                "9f03",
+                "--key",
+                &key,
+            ])
             .args(["--expiry", &EXPIRY_MS.to_string()])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -149,7 +177,8 @@
         let record = record.clone();
         running.push(std::thread::spawn(move || {
             let output = child.wait_with_output();
-            let answer = output.map(|output| String::from_utf8_lossy(&output.stdout).trim().to_owned());
+            let answer =
+                output.map(|output| String::from_utf8_lossy(&output.stdout).trim().to_owned());
             record.line(&format!("call {key} ends: {}", answer.unwrap_or_default()));
         }));
         std::thread::sleep(CALL_GAP);
@@ -164,12 +193,23 @@
 
 fn report(record: &Recorder, fleet: &Fleet) -> bool {
     let applied = fleet.applied.lock().unwrap();
-    let mut twice: Vec<_> = applied.iter().filter(|(_, times)| times.len() > 1).collect();
+    let mut twice: Vec<_> = applied
+        .iter()
+        .filter(|(_, times)| times.len() > 1)
+        .collect();
     twice.sort();
     for (key, times) in &twice {
         let gap = times[1] - times[0];
-        record.say(&format!("BROKEN: key {key} was applied {} times, {gap:.3?} apart", times.len()));
+        record.say(&format!(
+            "BROKEN: key {key} was applied {} times, {gap:.3?} apart",
+            times.len()
+        ));
     }
-    record.say(&format!("{} calls, {} keys applied, {} of them more than once", CALLS, applied.len(), twice.len()));
+    record.say(&format!(
+        "{} calls, {} keys applied, {} of them more than once",
+        CALLS,
+        applied.len(),
+        twice.len()
+    ));
     !twice.is_empty()
 }
--- a/review/src/bin/pair_lost.rs
+++ b/review/src/bin/pair_lost.rs
@@ -65,9 +65,16 @@
             wire::write(stream, &wire::value_reply(query.object.as_bytes()))
         };
         let address = appliance::start(&name, Arc::new(handler))?;
-        entries.push(entry(&name, address, ["akl-east", "akl-west"][n % 2], "std-4core", BUILD));
+        entries.push(entry(
+            &name,
+            address,
+            ["akl-east", "akl-west"][n % 2],
+            "std-4core",
+            BUILD,
+        ));
     }
-    let news = json!({"image": BUILD, "ring": 3, "progress": "released", "ceiling": 1.0, "lag_ms": 60000});
+    let news =
+        json!({"image": BUILD, "ring": 3, "progress": "released", "ceiling": 1.0, "lag_ms": 60000});
     let discovery = Discovery::start(entries)?;
     let platform = Platform::start(news.clone())?;
     let mut configuration = settings::configuration(
@@ -81,16 +88,31 @@
     configuration["limits"]["sockets"] = SOCKETS.into();
     let agent = Agent::start(&configuration)?;
     let counts = Arc::new(Counts::default());
-    let clients = if has_trouble() { CLIENTS_IN_BURST } else { CLIENTS };
+    let clients = if has_trouble() {
+        CLIENTS_IN_BURST
+    } else {
+        CLIENTS
+    };
     let begun = Instant::now();
     let threads: Vec<_> = (0..clients)
         .map(|client| {
-            let (from, until) = if client < CLIENTS { (Duration::ZERO, END) } else { (BURST_FROM, BURST_UNTIL) };
+            let (from, until) = if client < CLIENTS {
+                (Duration::ZERO, END)
+            } else {
+                (BURST_FROM, BURST_UNTIL)
+            };
             let (record, counts, address) = (record.clone(), counts.clone(), agent.address);
             std::thread::spawn(move || {
                 let stagger = Duration::from_millis(client as u64 * 7);
                 std::thread::sleep(from + stagger);
-                let mut session = Session { client, address, record, counts, stream: None, number: 0 };
+                let mut session = Session {
+                    client,
+                    address,
+                    record,
+                    counts,
+                    stream: None,
+                    number: 0,
+                };
                 while begun.elapsed() < until {
                     session.ask_pair();
                     std::thread::sleep(GAP);
@@ -157,9 +179,20 @@
             return;
         }
         self.counts.commands.fetch_add(2, Ordering::Relaxed);
-        let how = if is_new { "a new connection" } else { "its connection" };
-        self.record.line(&format!("client {} sends {} and {} on {how}", self.client, ids[0], ids[1]));
-        let mut keeps = !is_new || matches!(self.read_answer(&mut stream, "the startup"), Answer::Whole(_));
+        let how = if is_new {
+            "a new connection"
+        } else {
+            "its connection"
+        };
+        self.record.line(&format!(
+            "client {} sends {} and {} on {how}",
+            self.client, ids[0], ids[1]
+        ));
+        let mut keeps = !is_new
+            || matches!(
+                self.read_answer(&mut stream, "the startup"),
+                Answer::Whole(_)
+            );
         for id in &ids {
             keeps = match self.read_answer(&mut stream, id) {
                 Answer::Whole(keeps) => keeps,
@@ -183,8 +216,13 @@
             }
             _ => {
                 self.counts.lost.fetch_add(1, Ordering::Relaxed);
-                let how = if matches!(ended, Answer::End) { "the agent closed the connection" } else { "nothing came" };
-                self.record.line(&format!("BROKEN: {id} was read and never answered: {how}"));
+                let how = if matches!(ended, Answer::End) {
+                    "the agent closed the connection"
+                } else {
+                    "nothing came"
+                };
+                self.record
+                    .line(&format!("BROKEN: {id} was read and never answered: {how}"));
             }
         }
     }
@@ -194,7 +232,9 @@
         loop {
             let (tag, body) = match wire::read_message(stream) {
                 Ok(message) => message,
-                Err(e) if error.is_some() => return self.count(id, error, e.kind() == io::ErrorKind::WouldBlock),
+                Err(e) if error.is_some() => {
+                    return self.count(id, error, e.kind() == io::ErrorKind::WouldBlock)
+                }
                 Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => return Answer::End,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Answer::Nothing,
                 Err(_) => return Answer::Reset,
--- a/review/src/client.rs
+++ b/review/src/client.rs
@@ -45,9 +45,16 @@
     pub fn ask(&mut self, statement: &str) -> io::Result<Answer> {
         wire::write(&mut self.stream, &wire::query(statement))?;
         let messages = self.read_until_ready()?;
-        let body = |tag| messages.iter().find(|(t, _)| *t == tag).map(|(_, body)| body);
+        let body = |tag| {
+            messages
+                .iter()
+                .find(|(t, _)| *t == tag)
+                .map(|(_, body)| body)
+        };
         if let Some(error) = body(b'E') {
-            return Ok(Answer::Error(wire::error_field(error, b'C').unwrap_or_default()));
+            return Ok(Answer::Error(
+                wire::error_field(error, b'C').unwrap_or_default(),
+            ));
         }
         let row = body(b'D').and_then(|row| row.get(6..));
         row.map(|value| Answer::Value(value.to_vec()))
--- a/review/src/platform.rs
+++ b/review/src/platform.rs
@@ -34,7 +34,12 @@
     for line in BufReader::new(stream).lines() {
         let call: Value = serde_json::from_str(&line?).unwrap_or_default();
         let id = call["id"].clone();
-        let send = |line: Value| writer.lock().unwrap().write_all(format!("{line}\n").as_bytes());
+        let send = |line: Value| {
+            writer
+                .lock()
+                .unwrap()
+                .write_all(format!("{line}\n").as_bytes())
+        };
         match call["method"].as_str() {
             Some("Events.Watch") => {
                 send(json!({"jsonrpc": "2.0", "id": id, "result": true}))?;
