--- a/review/src/agent.rs
+++ b/review/src/agent.rs
@@ -68,6 +68,7 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
+        note_process(child.id());
         let agent = Agent {
             child,
             address,
@@ -131,6 +132,22 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        forget_process(self.id());
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
+
+/// Notes a process that was started, as an empty file with its id in the folder that PROCESSES names. The
+/// script ends what is still noted there when it ends itself, however that comes about.
+pub fn note_process(id: u32) {
+    if let Some(folder) = std::env::var_os("PROCESSES") {
+        let _ = File::create(PathBuf::from(folder).join(id.to_string()));
+    }
+}
+
+/// Forgets a process that has ended.
+pub fn forget_process(id: u32) {
+    if let Some(folder) = std::env::var_os("PROCESSES") {
+        let _ = std::fs::remove_file(PathBuf::from(folder).join(id.to_string()));
+    }
+}
--- a/review/src/bin/foreign_answer.rs
+++ b/review/src/bin/foreign_answer.rs
@@ -47,7 +47,11 @@
 }
 
 fn run() -> std::io::Result<bool> {
-    let record = Recorder::create("record.txt")?;
+    let record = Recorder::create(
+        &std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".into()),
+    )?;
     let random = Arc::new(Mutex::new(SEED.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
     let mut entries = Vec::new();
     for n in 0..APPLIANCES {
--- a/review/src/bin/keyed_twice.rs
+++ b/review/src/bin/keyed_twice.rs
@@ -6,7 +6,7 @@
 use std::process::{Command, ExitCode, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tulipwall_review::agent::{free_address, root, Agent};
+use tulipwall_review::agent::{forget_process, free_address, note_process, root, Agent};
 use tulipwall_review::discovery::{entry, Discovery};
 use tulipwall_review::platform::Platform;
 use tulipwall_review::record::Recorder;
@@ -82,7 +82,11 @@
 }
 
 fn run() -> std::io::Result<bool> {
-    let record = Recorder::create("record.txt")?;
+    let record = Recorder::create(
+        &std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".into()),
+    )?;
     let fleet = Arc::new(Fleet {
         record: record.clone(),
         applied: Mutex::default(),
@@ -174,9 +178,12 @@
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()?;
+        let id = child.id();
+        note_process(id);
         let record = record.clone();
         running.push(std::thread::spawn(move || {
             let output = child.wait_with_output();
+            forget_process(id);
             let answer =
                 output.map(|output| String::from_utf8_lossy(&output.stdout).trim().to_owned());
             record.line(&format!("call {key} ends: {}", answer.unwrap_or_default()));
--- a/review/src/bin/pair_lost.rs
+++ b/review/src/bin/pair_lost.rs
@@ -25,8 +25,9 @@
 const BURST_FROM: Duration = Duration::from_secs(3);
 const BURST_UNTIL: Duration = Duration::from_secs(11);
 const END: Duration = Duration::from_secs(14);
-/// Between two pairs of one client.
-const GAP: Duration = Duration::from_millis(120);
+/// From one pair of a client to its next, whatever became of the one before: clients that are rejected send no
+/// more than others, so the burst stays within its named rate.
+const PERIOD: Duration = Duration::from_millis(260);
 /// The expiry of `view`, the half second in which an answer only earns nothing, and slack.
 const PATIENCE: Duration = Duration::from_millis(1500 + 500 + 50);
 
@@ -52,7 +53,11 @@
 }
 
 fn run() -> io::Result<bool> {
-    let record = Recorder::create("record.txt")?;
+    let record = Recorder::create(
+        &std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".into()),
+    )?;
     let mut entries = Vec::new();
     for n in 0..APPLIANCES {
         let name = format!("s-{n:02}");
@@ -114,8 +119,9 @@
                     number: 0,
                 };
                 while begun.elapsed() < until {
+                    let next = Instant::now() + PERIOD;
                     session.ask_pair();
-                    std::thread::sleep(GAP);
+                    std::thread::sleep(next.saturating_duration_since(Instant::now()));
                 }
             })
         })
