Trace the exchanges on connections to endpoints, target `exchange`

Change: `RUST_LOG=info,exchange=debug` logs each request that is written to an endpoint and how its response ended, by the number of the connection. Off by default.

--- a/crates/agent/src/observability/logging.rs
+++ b/crates/agent/src/observability/logging.rs
@@ -15,6 +15,11 @@
 /// (`info,evidence=debug`, or `debug` for all targets).
 pub const EVIDENCE: &str = "evidence";
 
+/// Log target of the lines with which the exchanges on a connection to an endpoint can be followed:
+/// each request that is written, and how its response ended. Each line has level `debug` and names
+/// the connection by its number. Off unless enabled by `RUST_LOG` (`info,exchange=debug`).
+pub const EXCHANGE: &str = "exchange";
+
 /// Logs a line to the target [`EVIDENCE`], preceded by the clock's current time.
 macro_rules! log_evidence {
     ($clock:expr, $($line:tt)+) => {
--- a/crates/agent/src/protocol/connection.rs
+++ b/crates/agent/src/protocol/connection.rs
@@ -8,8 +8,10 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
+static CONNECTIONS_CREATED: AtomicU64 = AtomicU64::new(0);
 const SOCKET_FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
 
 /// The numbers of bytes that were transferred over one connection, and of those already accounted
@@ -48,6 +50,9 @@
 
 /// A non-blocking TCP connection.
 pub struct Connection {
+    /// The number of connections that this process had opened or accepted before this one, which
+    /// identifies it in log lines.
+    pub number: u64,
     source: Source<TcpStream>,
     /// The bytes that were received and not yet consumed.
     pub receive_buffer: Buffer,
@@ -64,6 +69,7 @@
         // ignored, as the socket works without the option.
         let _ = stream.set_nodelay(true);
         Ok(Connection {
+            number: CONNECTIONS_CREATED.fetch_add(1, Ordering::Relaxed),
             source: Source::new(stream)?,
             receive_buffer: Buffer::default(),
             traffic: Rc::default(),
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: obtains a connection, writes the statement and reads the response.
 
 use crate::agent::Agent;
+use crate::observability::logging::EXCHANGE;
 use crate::protocol::postgres::{self, QueryOutcome, ResponseReader};
 use crate::protocol::statement::Statement;
 use crate::upstream::connect::{open_connection, ConnectError};
@@ -60,10 +61,12 @@
         Err(outcome) => return AttemptResponse::without_value(outcome),
     };
     meter.set_fully_written();
+    log_request(agent, &plan, statement, &pooled);
     agent.counters.attempts_written.increment();
     let mut response = ResponseReader::default();
     let end = read_response(agent, &mut pooled.connection, &mut response).await;
     report_load(agent, plan.target, &response);
+    log_response(&end, &response, statement, &pooled);
     let outcome = outcome(&end, &response);
     match end {
         Ok(()) => release(agent, plan.target, pooled),
@@ -143,6 +146,39 @@
         && balancer.attempt_allowed(plan.request_id, plan.attempt)
 }
 
+/// Logs that the request was written.
+fn log_request(
+    agent: &Agent,
+    plan: &AttemptPlan,
+    statement: &Statement,
+    pooled: &PooledConnection,
+) {
+    log::debug!(target: EXCHANGE, "connection {} to {}: request {} written",
+        pooled.connection.number, agent.endpoints.name(plan.target.endpoint), statement.id);
+}
+
+/// Logs how the response ended, and whether bytes follow it.
+fn log_response(
+    end: &Result<(), ResponseError>,
+    response: &ResponseReader,
+    statement: &Statement,
+    pooled: &PooledConnection,
+) {
+    if !log::log_enabled!(target: EXCHANGE, log::Level::Debug) {
+        return;
+    }
+    let number = pooled.connection.number;
+    let bytes_behind = pooled.connection.receive_buffer.len();
+    let outcome = response.outcome;
+    let id = &statement.id;
+    match end {
+        Ok(()) => log::debug!(target: EXCHANGE,
+            "connection {number}: response to {id} ended: outcome {outcome:?}, {bytes_behind} bytes behind it"),
+        Err(error) => log::debug!(target: EXCHANGE,
+            "connection {number}: response to {id} broke off: outcome {outcome:?}, {error}"),
+    }
+}
+
 /// Passes the load that the endpoint reported to the balancer, unless the endpoint has changed
 /// meanwhile.
 fn report_load(agent: &Agent, target: AttemptTarget, response: &ResponseReader) {
