Close a connection that is ready for a query before it has sent a response

Cause: startup and responses were read by one parser, which let ready-for-query end an exchange without an outcome, as a startup has none. The attempt was reported as lost, but its connection went back to the pool. 20 ms later it served another request, for which the response still owed to the first was taken; the connection stayed one response behind from then on.

Change: the startup has a parser of its own, StartupReader. ResponseReader accepts ready-for-query only once the outcome is known, and no messages of a startup. Anything else ends the attempt as lost and closes the connection, so nothing on it can be read for another request.

--- a/crates/agent/src/protocol/postgres/mod.rs
+++ b/crates/agent/src/protocol/postgres/mod.rs
@@ -2,9 +2,13 @@
 
 mod client;
 mod endpoint;
+mod response;
+mod startup;
 
 pub use client::*;
 pub use endpoint::*;
+pub use response::*;
+pub use startup::*;
 
 use super::error::PostgresError;
 use super::ProtocolError;
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::agent::Agent;
 use crate::observability::logging::EXCHANGE;
-use crate::protocol::postgres::{self, QueryOutcome, ResponseReader};
+use crate::protocol::postgres::{self, MessageReader, QueryOutcome, ResponseReader};
 use crate::protocol::statement::Statement;
 use crate::upstream::connect::{open_connection, ConnectError};
 use crate::upstream::pool::PooledConnection;
--- a/crates/agent/src/upstream/connect.rs
+++ b/crates/agent/src/upstream/connect.rs
@@ -2,7 +2,7 @@
 
 use crate::agent::Agent;
 use crate::protocol::connection::{Connection, SocketTraffic};
-use crate::protocol::postgres::{self, QueryOutcome, ResponseReader};
+use crate::protocol::postgres::{self, EndpointError, StartupReader};
 use crate::upstream::limits::ConnectionPermit;
 use crate::upstream::pool::PooledConnection;
 use crate::upstream::response::read_response;
@@ -88,10 +88,10 @@
     cost.track(connection.traffic.clone());
     let startup = postgres::startup(USER, DATABASE);
     connection.write(&startup).await?;
-    let mut response = ResponseReader::default();
-    let end = read_response(agent, &mut connection, &mut response).await;
-    match (end, response.outcome) {
-        (_, Some(QueryOutcome::Rejected)) => Err(ConnectError::Rejected),
+    let mut reply = StartupReader::default();
+    let end = read_response(agent, &mut connection, &mut reply).await;
+    match (end, reply.error) {
+        (_, Some(EndpointError::Rejected)) => Err(ConnectError::Rejected),
         (Ok(()), None) => Ok(connection),
         _ => Err(ConnectError::InvalidHandshake),
     }
--- a/crates/agent/src/upstream/response.rs
+++ b/crates/agent/src/upstream/response.rs
@@ -1,8 +1,8 @@
-//! Reading an endpoint's response to one query.
+//! Reading the messages of one exchange from a connection to an endpoint.
 
 use crate::agent::Agent;
 use crate::protocol::connection::Connection;
-use crate::protocol::postgres::{self, ResponseReader};
+use crate::protocol::postgres::{self, MessageReader};
 use crate::protocol::ProtocolError;
 use futures_lite::FutureExt;
 use std::io;
@@ -31,11 +31,12 @@
     }
 }
 
-/// Reads messages into `response` until the connection is ready for the next query.
+/// Reads messages into `response` until the exchange is complete, and the connection ready for the
+/// next query.
 pub async fn read_response(
     agent: &Agent,
     connection: &mut Connection,
-    response: &mut ResponseReader,
+    response: &mut impl MessageReader,
 ) -> Result<(), ResponseError> {
     loop {
         let bytes = connection.receive_buffer.unread();
--- a/crates/agent/tests/protocols.rs
+++ b/crates/agent/tests/protocols.rs
@@ -6,7 +6,8 @@
 use tulipwall_agent::lifecycle::start::StartupConfig;
 use tulipwall_agent::protocol::buffer::Buffer;
 use tulipwall_agent::protocol::platform::{self, PlatformMessage, RolloutReport};
-use tulipwall_agent::protocol::postgres::{self, ClientOpening, QueryOutcome, ResponseReader};
+use tulipwall_agent::protocol::postgres::{self, ClientOpening, MessageReader};
+use tulipwall_agent::protocol::postgres::{QueryOutcome, ResponseReader};
 use tulipwall_agent::protocol::{http, statement::Statement, ProtocolError};
 use tulipwall_discovery::list_response::ListResponse;
 
@@ -165,6 +166,26 @@
     assert!(postgres::parse_opening(b"\0\0\0\x02").is_err());
 }
 
+/// Guards against a response that ends without an outcome: its connection would serve another
+/// request while the endpoint still owes this one its response.
+#[test]
+fn ends_a_response_only_after_its_outcome() {
+    let whole = response();
+    let ready = &whole[whole.len() - 6..];
+    let messages = [&whole[..30], &whole[30..43], &whole[43..57]];
+    for received in 0..messages.len() {
+        let early = [&messages[..received].concat(), ready].concat();
+        assert!(read_response(&[&early]).is_err(), "{received} messages");
+    }
+    for startup_message in [
+        &b"R\0\0\0\x08\0\0\0\0"[..],
+        b"K\0\0\0\x0c\0\0\0\x01\0\0\0\x02",
+    ] {
+        assert!(read_response(&[startup_message]).is_err());
+    }
+    assert!(matches!(read_response(&[&whole]), Ok(Some(_))));
+}
+
 #[test]
 fn parses_an_http_response_only_when_it_is_complete() {
     for whole in [
--- /dev/null
+++ b/crates/agent/tests/response_ownership.rs
@@ -0,0 +1,78 @@
+//! No request is answered with the response to another one. Scripted endpoints send messages where
+//! no response, or no further one, is due, and then answer the earlier request on a connection that
+//! must not serve any other by then.
+
+use std::io;
+use std::net::SocketAddr;
+use std::thread::sleep;
+use std::time::Duration;
+use tulipwall_testkit::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_tulipwall-agent");
+
+/// Room for a single connection to endpoints, which the next request reuses.
+const SOCKETS: usize = 26;
+/// Longer than the time for which a connection is not reused after a response.
+const REST: Duration = Duration::from_millis(150);
+
+fn value_of(object: &str) -> Reply {
+    Reply::Value(object.as_bytes().to_vec())
+}
+
+/// Starts an agent whose only endpoint listens at this address. Its cluster must outlive it.
+fn start_agent(endpoint: SocketAddr) -> (AgentProcess, TestCluster) {
+    let cluster = TestCluster::new(&["a"], agent_process::classes()).unwrap();
+    let behavior = EndpointBehavior::default();
+    cluster.add_endpoint(0, "s-0", 41, behavior).unwrap();
+    let discovery = &cluster.discovery;
+    discovery.update_entry("s-0", |entry| entry.addresses = vec![endpoint]);
+    let mut configuration = cluster.configuration("n1", 0).unwrap();
+    configuration["limits"]["sockets"] = SOCKETS.into();
+    let agent = AgentProcess::start(BINARY, configuration, &[]).unwrap();
+    (agent, cluster)
+}
+
+/// Requests an object, with a class that is never attempted a second time once it may have run.
+fn request(client: &mut TestClient, object: &str) -> Reply {
+    let comment = format!("id=r-{object},c=payment,d=1000");
+    let text = format!("SELECT body FROM objects WHERE oid = '{object}' /* {comment} */");
+    client.send_statement(&text);
+    client.read_reply().unwrap()
+}
+
+/// Runs `script` on the first connection to an endpoint, and answers as expected on all others.
+/// Requests two objects one after the other, and returns both replies.
+fn two_replies(
+    script: impl Fn(&mut ScriptedConnection) -> io::Result<()> + Send + Sync + 'static,
+) -> [Reply; 2] {
+    let endpoint = ScriptedEndpoint::start(move |mut connection| {
+        if connection.index == 0 {
+            return script(&mut connection);
+        }
+        connection.complete_startup()?;
+        connection.answer_with_objects()
+    });
+    let endpoint = endpoint.unwrap();
+    let (agent, _cluster) = start_agent(endpoint.address);
+    let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
+    let first = request(&mut client, "first");
+    sleep(REST);
+    let second = request(&mut client, "second");
+    [first, second]
+}
+
+/// Guards against a connection that is reused although the endpoint still owes a response, because
+/// it reported to be ready before it sent one.
+#[test]
+fn closes_a_connection_that_is_ready_before_it_has_sent_a_response() {
+    let [first, second] = two_replies(|connection| {
+        connection.complete_startup()?;
+        let first = connection.read_query()?;
+        connection.send(&pg::ready())?;
+        connection.read_query()?;
+        connection.send(&pg::value_reply(first.object.as_bytes()))?;
+        connection.answer_with_objects()
+    });
+    assert!(matches!(first, Reply::Failed(_)), "{first:?}");
+    assert_eq!(second, value_of("second"));
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 //!   with many clients.
 //! - [`AgentProcess`]: an agent that runs as a child process, with its configuration.
 //! - [`ScriptedServer`]: a server that sends fixed bytes, for replies that no fake sends.
+//! - [`ScriptedEndpoint`]: an endpoint whose every byte is chosen by a test.
 //! - [`simulation`]: agents, endpoints and clients in simulated time. It covers the balancer's
 //!   decisions and the zones only, and checks the rules after each step.
 
@@ -27,6 +28,7 @@
 pub mod platform;
 pub mod registry;
 pub mod runtime;
+pub mod scripted_endpoint;
 pub mod scripted_server;
 pub mod simulation;
 
@@ -43,4 +45,5 @@
 pub use load::{ConnectionUse, Load, LoadReport};
 pub use platform::{Platform, RolloutStatus, StagedRollout};
 pub use registry::{Entry, Registry};
+pub use scripted_endpoint::{ScriptedConnection, ScriptedEndpoint, ScriptedQuery};
 pub use scripted_server::ScriptedServer;
