Use a connection only after a whole startup with nothing behind it

What callers saw: beside an endpoint that sends anything behind its startup, the first request on the connection was answered with it: with a value that no request asked for, or with a rejection as proof that it had never run, while the endpoint ran it. An endpoint that is ready before its authentication kept the connection one message group behind.

Cause: the startup accepted ready-for-query at any point, and bytes received in the same read stayed in the buffer as the start of the next response. Pooled connections were checked for this when taken, new ones not.

Change: the startup needs the authentication before ready-for-query, each once, and the connection has to be quiet after it. Connection::idle_state tells quiet, closed and data; such startups count as malformed or unsolicited.

--- a/crates/agent/src/protocol/connection.rs
+++ b/crates/agent/src/protocol/connection.rs
@@ -48,6 +48,17 @@
     }
 }
 
+/// The state of a connection on which no data is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleState {
+    /// The connection is open and there is nothing to read.
+    Quiet,
+    /// The peer has closed the connection, or the connection has failed.
+    Closed,
+    /// The peer has sent data that nothing asked for.
+    DataReceived,
+}
+
 /// A non-blocking TCP connection.
 pub struct Connection {
     /// The number of connections that this process had opened or accepted before this one, which
@@ -181,12 +192,23 @@
     /// Returns whether the connection is open and there is nothing to read, as is expected of an
     /// idle connection.
     pub fn is_open_and_quiet(&self) -> bool {
-        let peeked = self.source.get().peek(&mut [0]);
-        let would_block = peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
-        if would_block {
-            self.source.clear_read_readiness();
+        self.idle_state() == IdleState::Quiet
+    }
+
+    /// Returns the state of a connection on which no data is due.
+    pub fn idle_state(&self) -> IdleState {
+        if !self.receive_buffer.is_empty() {
+            return IdleState::DataReceived;
+        }
+        match self.source.get().peek(&mut [0]) {
+            Ok(0) => IdleState::Closed,
+            Ok(_) => IdleState::DataReceived,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                self.source.clear_read_readiness();
+                IdleState::Quiet
+            }
+            Err(_) => IdleState::Closed,
         }
-        self.receive_buffer.is_empty() && would_block
     }
 }
 
--- a/crates/agent/src/protocol/postgres/startup.rs
+++ b/crates/agent/src/protocol/postgres/startup.rs
@@ -4,11 +4,13 @@
 use super::ProtocolError;
 use crate::protocol::error::PostgresError;
 
-/// Reads an endpoint's reply to the startup message, up to ready-for-query.
+/// Reads an endpoint's reply to the startup message: authentication without a password, then
+/// ready-for-query; parameters, key data and notices may come in between.
 #[derive(Default)]
 pub struct StartupReader {
     /// The error with which the endpoint refused the connection; `None` if it did not.
     pub error: Option<EndpointError>,
+    authenticated: bool,
 }
 
 impl MessageReader for StartupReader {
@@ -17,11 +19,14 @@
     }
 
     fn on_message(&mut self, tag: u8, body: &[u8], _raw: &[u8]) -> Result<bool, ProtocolError> {
+        let refused = self.error.is_some();
         match tag {
             b'S' | b'N' | b'K' => {}
-            b'R' if body == [0; 4] => {}
-            b'E' if self.error.is_none() => self.error = Some(EndpointError::parse(body)?),
-            b'Z' if matches!(body, b"I" | b"T" | b"E") => return Ok(true),
+            b'R' if body == [0; 4] && !self.authenticated && !refused => self.authenticated = true,
+            b'E' if !refused => self.error = Some(EndpointError::parse(body)?),
+            // Ready-for-query before the authentication belongs to no startup: the endpoint still
+            // owes the rest, which would be read as the response to the first request.
+            b'Z' if body == b"I" && (self.authenticated || refused) => return Ok(true),
             _ => return Err(PostgresError::UnexpectedMessage(tag).into()),
         }
         Ok(false)
--- a/crates/agent/src/upstream/connect.rs
+++ b/crates/agent/src/upstream/connect.rs
@@ -1,11 +1,12 @@
 //! Opening connections to endpoints.
 
 use crate::agent::Agent;
-use crate::protocol::connection::{Connection, SocketTraffic};
+use crate::observability::logging::EXCHANGE;
+use crate::protocol::connection::{Connection, IdleState, SocketTraffic};
 use crate::protocol::postgres::{self, EndpointError, StartupReader};
 use crate::upstream::limits::ConnectionPermit;
 use crate::upstream::pool::PooledConnection;
-use crate::upstream::response::read_response;
+use crate::upstream::response::{read_response, ResponseError};
 use futures_lite::FutureExt;
 use std::cell::RefCell;
 use std::io;
@@ -92,11 +93,36 @@
     let end = read_response(agent, &mut connection, &mut reply).await;
     match (end, reply.error) {
         (_, Some(EndpointError::Rejected)) => Err(ConnectError::Rejected),
-        (Ok(()), None) => Ok(connection),
+        (Ok(()), None) => check_nothing_follows(agent, target, connection),
+        (Err(ResponseError::Malformed(error)), _) => {
+            agent.counters.responses_malformed.increment();
+            let name = agent.endpoints.name(target.endpoint);
+            log::debug!(target: EXCHANGE, "startup of {name}: {error}");
+            Err(ConnectError::InvalidHandshake)
+        }
         _ => Err(ConnectError::InvalidHandshake),
     }
 }
 
+/// Fails if the startup is followed by anything, which would be taken for the response to the first
+/// request.
+fn check_nothing_follows(
+    agent: &Agent,
+    target: AttemptTarget,
+    connection: Connection,
+) -> Result<Connection, ConnectError> {
+    match connection.idle_state() {
+        IdleState::Quiet => Ok(connection),
+        IdleState::Closed => Err(ConnectError::InvalidHandshake),
+        IdleState::DataReceived => {
+            agent.counters.responses_unsolicited.increment();
+            let name = agent.endpoints.name(target.endpoint);
+            log::debug!(target: EXCHANGE, "startup of {name}: data follows it");
+            Err(ConnectError::InvalidHandshake)
+        }
+    }
+}
+
 async fn connect_timeout(agent: &Agent) -> Result<Connection, ConnectError> {
     let timeout = agent.service_config().connect_timeout;
     agent.sleep_until(agent.clock.now() + timeout).await;
--- a/crates/agent/tests/response_ownership.rs
+++ b/crates/agent/tests/response_ownership.rs
@@ -4,6 +4,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
 use tulipwall_testkit::*;
@@ -76,3 +78,44 @@
     assert!(matches!(first, Reply::Failed(_)), "{first:?}");
     assert_eq!(second, value_of("second"));
 }
+
+/// Guards against a connection that serves requests before its startup is over, whose remaining
+/// messages are then taken for the response to its first request.
+#[test]
+fn serves_no_request_on_a_connection_that_is_ready_before_its_authentication() {
+    let replies = two_replies(|connection| {
+        connection.read_startup()?;
+        connection.send(&pg::ready())?;
+        let first = connection.read_query()?;
+        connection.send(&pg::startup_reply())?;
+        connection.read_query()?;
+        connection.send(&pg::value_reply(first.object.as_bytes()))
+    });
+    assert_eq!(replies, [value_of("first"), value_of("second")]);
+}
+
+/// Guards against messages behind the startup, which are taken for the response to the first
+/// request on the connection: a value for its value, a rejection as proof that it never ran.
+#[test]
+fn sends_no_request_on_a_connection_with_messages_behind_its_startup() {
+    for unsolicited in [
+        pg::value_reply(b"unsolicited"),
+        pg::error_reply("53300", "full"),
+        pg::ready(),
+        pg::value_reply(b"cut")[..9].to_vec(),
+    ] {
+        let bytes = unsolicited.clone();
+        let received = Arc::<AtomicUsize>::default();
+        let received_there = received.clone();
+        let replies = two_replies(move |connection| {
+            connection.read_startup()?;
+            connection.send(&[pg::startup_reply(), bytes.clone()].concat())?;
+            connection.read_query()?;
+            received_there.fetch_add(1, Ordering::SeqCst);
+            connection.answer_with_objects()
+        });
+        let expected = [value_of("first"), value_of("second")];
+        assert_eq!(replies, expected, "{unsolicited:?}");
+        assert_eq!(received.load(Ordering::SeqCst), 0, "{unsolicited:?}");
+    }
+}
