Take no rejection behind the beginning of a value as proof that nothing ran

A payment of which an endpoint has sent the row description and then 53300 would be sent to another endpoint and run twice.

Cause: an error's code alone decided. An endpoint that describes the value has run the query.

Change: such an attempt counts as failed and may have run.

Result: the test failed before (Rejected after 30 of the response's bytes).

--- a/crates/agent/src/protocol/postgres/response.rs
+++ b/crates/agent/src/protocol/postgres/response.rs
@@ -80,8 +80,9 @@
         let error = EndpointError::parse(body)?;
         self.value = Vec::new();
         self.outcome = Some(match error {
-            EndpointError::Rejected => QueryOutcome::Rejected,
-            EndpointError::Failed => QueryOutcome::Failed,
+            EndpointError::Rejected if !self.described => QueryOutcome::Rejected,
+            // A query whose value was begun has run, whatever the error says.
+            EndpointError::Rejected | EndpointError::Failed => QueryOutcome::Failed,
         });
         Ok(())
     }
--- a/crates/agent/tests/protocols.rs
+++ b/crates/agent/tests/protocols.rs
@@ -186,6 +186,23 @@
     assert!(matches!(read_response(&[&whole]), Ok(Some(_))));
 }
 
+/// Guards against a second run of a request that is not idempotent: an endpoint that has begun to
+/// send the value has run it, whatever it sends then.
+#[test]
+fn takes_no_rejection_behind_the_beginning_of_a_value_as_proof_that_nothing_ran() {
+    let whole = response();
+    let mut rejection = Vec::new();
+    postgres::write_rejected(&mut rejection, None);
+    postgres::write_ready(&mut rejection);
+    for begun in [30, 43] {
+        let bytes = [&whole[..begun], &rejection].concat();
+        let failed = Ok(Some((QueryOutcome::Failed, Vec::new())));
+        assert_eq!(read_response(&[&bytes]), failed, "{begun} bytes");
+    }
+    let rejected = Ok(Some((QueryOutcome::Rejected, Vec::new())));
+    assert_eq!(read_response(&[&rejection]), rejected);
+}
+
 #[test]
 fn parses_an_http_response_only_when_it_is_complete() {
     for whole in [
