Let a connection return to the pool only by the end of its exchange

Change: a request takes an ActiveConnection, which goes back to the pool by end_exchange alone, with a response that was received to its end and nothing behind it. Cancelling, a timeout and an error drop it, which closes it.

--- a/crates/agent/src/protocol/postgres/response.rs
+++ b/crates/agent/src/protocol/postgres/response.rs
@@ -33,6 +33,8 @@
     rows: usize,
     /// Whether the row description was received.
     described: bool,
+    /// Whether ready-for-query was received.
+    complete: bool,
 }
 
 impl MessageReader for ResponseReader {
@@ -56,7 +58,10 @@
             b'N' => return Ok(false),
             // Ready-for-query ends a response only once its outcome is known. Before that the
             // endpoint still owes the response, which would be read as that to the next request.
-            b'Z' if matches!(body, b"I" | b"T" | b"E") && !open => return Ok(true),
+            b'Z' if matches!(body, b"I" | b"T" | b"E") && !open && !self.complete => {
+                self.complete = true;
+                return Ok(true);
+            }
             b'E' if open => {
                 self.on_error(body)?;
                 return Ok(false);
@@ -76,6 +81,11 @@
 }
 
 impl ResponseReader {
+    /// Returns whether the response was received to its end.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
     fn on_error(&mut self, body: &[u8]) -> Result<(), PostgresError> {
         let error = EndpointError::parse(body)?;
         self.value = Vec::new();
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -2,8 +2,10 @@
 
 use crate::agent::Agent;
 use crate::observability::logging::EXCHANGE;
+use crate::protocol::connection::Connection;
 use crate::protocol::postgres::{self, MessageReader, QueryOutcome, ResponseReader};
 use crate::protocol::statement::Statement;
+use crate::upstream::active_connection::ActiveConnection;
 use crate::upstream::connect::{open_connection, ConnectError};
 use crate::upstream::pool::PooledConnection;
 use crate::upstream::response::{read_response, ResponseError};
@@ -56,22 +58,22 @@
     plan: AttemptPlan,
     meter: &TransferMeter,
 ) -> AttemptResponse {
-    let mut pooled = match write_statement(agent, statement, &plan, meter).await {
-        Ok(pooled) => pooled,
+    let mut active = match write_statement(agent, statement, &plan, meter).await {
+        Ok(active) => active,
         Err(outcome) => return AttemptResponse::without_value(outcome),
     };
     meter.set_fully_written();
-    log_request(agent, &plan, statement, &pooled);
+    log_request(agent, &plan, statement, &active.connection);
     agent.counters.attempts_written.increment();
     let mut response = ResponseReader::default();
-    let end = read_response(agent, &mut pooled.connection, &mut response).await;
+    let end = read_response(agent, &mut active.connection, &mut response).await;
     report_load(agent, plan.target, &response);
-    log_response(&end, &response, statement, &pooled);
+    log_response(&end, &response, statement, &active.connection);
     let outcome = outcome(&end, &response);
     match end {
-        Ok(()) => release(agent, plan.target, pooled),
+        Ok(()) => release(agent, plan.target, active, &response),
         Err(error) => {
-            let begun = response.has_begun() || !pooled.connection.receive_buffer.is_empty();
+            let begun = response.has_begun() || !active.connection.receive_buffer.is_empty();
             let interrupted = begun && outcome == Outcome::ConnectionLost;
             record_fault(agent, plan.target, meter, &error, interrupted);
         }
@@ -95,28 +97,28 @@
     statement: &Statement,
     plan: &AttemptPlan,
     meter: &TransferMeter,
-) -> Result<PooledConnection, Outcome> {
+) -> Result<ActiveConnection, Outcome> {
     loop {
-        let (mut pooled, source) = acquire_connection(agent, plan.target)
+        let (pooled, source) = acquire_connection(agent, plan.target)
             .await
             .map_err(|error| error.outcome())?;
-        meter.track(pooled.connection.traffic.clone());
         if !is_still_allowed(agent, plan) {
             agent.return_connection(plan.target, pooled);
             return Err(Outcome::NotSent);
         }
         let time_left = plan.timeout_at.saturating_sub(agent.clock.now());
         let query = postgres::query(&statement.with_client_timeout(time_left));
-        pooled.on_request(agent.clock.now());
-        let written = pooled.connection.write(&query).await;
+        let mut active = pooled.begin_exchange(agent.clock.now());
+        meter.track(active.connection.traffic.clone());
+        let written = active.connection.write(&query).await;
         match (written, source) {
             (Ok(()), ConnectionSource::Pool) => {
                 agent.counters.connections_reused.increment();
-                return Ok(pooled);
+                return Ok(active);
             }
             (Ok(()), ConnectionSource::New) => {
                 agent.counters.connections_opened.increment();
-                return Ok(pooled);
+                return Ok(active);
             }
             // The endpoint closed the connection during the write: the statement was not fully
             // written, so it never ran, and another connection is tried.
@@ -147,14 +149,9 @@
 }
 
 /// Logs that the request was written.
-fn log_request(
-    agent: &Agent,
-    plan: &AttemptPlan,
-    statement: &Statement,
-    pooled: &PooledConnection,
-) {
+fn log_request(agent: &Agent, plan: &AttemptPlan, statement: &Statement, connection: &Connection) {
     log::debug!(target: EXCHANGE, "connection {} to {}: request {} written",
-        pooled.connection.number, agent.endpoints.name(plan.target.endpoint), statement.id);
+        connection.number, agent.endpoints.name(plan.target.endpoint), statement.id);
 }
 
 /// Logs how the response ended, and whether bytes follow it.
@@ -162,13 +159,13 @@
     end: &Result<(), ResponseError>,
     response: &ResponseReader,
     statement: &Statement,
-    pooled: &PooledConnection,
+    connection: &Connection,
 ) {
     if !log::log_enabled!(target: EXCHANGE, log::Level::Debug) {
         return;
     }
-    let number = pooled.connection.number;
-    let bytes_behind = pooled.connection.receive_buffer.len();
+    let number = connection.number;
+    let bytes_behind = connection.receive_buffer.len();
     let outcome = response.outcome;
     let id = &statement.id;
     match end {
@@ -204,15 +201,20 @@
     }
 }
 
-/// Puts a connection that is ready for the next query back into the pool. If bytes follow the
-/// response, the connection is closed instead: they would be taken for the response to the next
-/// request.
-fn release(agent: &Agent, target: AttemptTarget, mut pooled: PooledConnection) {
-    if pooled.connection.receive_buffer.is_empty() {
-        pooled.on_response(agent.clock.now());
-        agent.return_connection(target, pooled);
-    } else {
-        agent.counters.responses_unsolicited.increment();
+/// Puts a connection that is ready for another request back into the pool, and closes any other.
+fn release(
+    agent: &Agent,
+    target: AttemptTarget,
+    active: ActiveConnection,
+    response: &ResponseReader,
+) {
+    match active.end_exchange(response, agent.clock.now()) {
+        Ok(pooled) => agent.return_connection(target, pooled),
+        Err(error) => {
+            agent.counters.responses_unsolicited.increment();
+            let name = agent.endpoints.name(target.endpoint);
+            log::debug!("endpoint {name}: {error}; its connection is closed");
+        }
     }
 }
 
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! The upstream side of the agent: attempts, connections to endpoints and their limits, and the
 //! accounting of cross-zone traffic.
 
+pub mod active_connection;
 pub mod attempt;
 pub mod connect;
 pub mod limits;
--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::observability::counters::Counters;
 use crate::protocol::connection::Connection;
+use crate::upstream::active_connection::ActiveConnection;
 use crate::upstream::limits::ConnectionPermit;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -17,20 +18,19 @@
 /// itself.
 const IDLE_TIMEOUT_SHARE: f64 = 0.8;
 
-/// A connection to an endpoint, with its permit for a socket.
+/// A connection to an endpoint that is ready for a request, with its permit for a socket.
 pub struct PooledConnection {
-    /// The connection, which has completed its startup.
-    pub connection: Connection,
+    connection: Connection,
+    permit: ConnectionPermit,
     /// The earliest time at which the connection may have become idle: when it was opened, or when
     /// its last request was written. The time of reading the response would be too late, as this
     /// agent may have been stalled while the endpoint already counted the connection as idle.
     idle_since: Duration,
     reusable_at: Duration,
-    _permit: ConnectionPermit,
 }
 
 impl PooledConnection {
-    /// Creates a pooled connection from one that was opened at `now`.
+    /// Creates a pooled connection from one that has completed its startup at `now`.
     pub fn new(
         connection: Connection,
         permit: ConnectionPermit,
@@ -38,24 +38,31 @@
     ) -> PooledConnection {
         PooledConnection {
             connection,
+            permit,
             idle_since: now,
             reusable_at: now,
-            _permit: permit,
         }
     }
 
-    /// Records that a request is written on the connection.
-    pub fn on_request(&mut self, now: Duration) {
-        self.idle_since = now;
-    }
-
-    /// Records that the response was completely received.
-    pub fn on_response(&mut self, now: Duration) {
-        self.reusable_at = now + REUSE_DELAY;
+    /// Creates a pooled connection from one on which a request was written at `request_at`, and the
+    /// whole response received at `response_at`.
+    pub(super) fn after_response(
+        connection: Connection,
+        permit: ConnectionPermit,
+        request_at: Duration,
+        response_at: Duration,
+    ) -> PooledConnection {
+        PooledConnection {
+            connection,
+            permit,
+            idle_since: request_at,
+            reusable_at: response_at + REUSE_DELAY,
+        }
     }
 
-    fn is_open(&self) -> bool {
-        self.connection.is_open_and_quiet()
+    /// Begins an exchange: a request is written on the connection at `now`.
+    pub fn begin_exchange(self, now: Duration) -> ActiveConnection {
+        ActiveConnection::new(self.connection, self.permit, now)
     }
 }
 
@@ -104,7 +111,7 @@
                 if self.is_expired(&connection, now) {
                     continue;
                 }
-                if connection.is_open() {
+                if connection.connection.is_open_and_quiet() {
                     return Some(connection);
                 }
                 self.counters.connections_found_closed.increment();
@@ -132,7 +139,7 @@
         for endpoint in idle.endpoints() {
             idle.change(endpoint, |connections| {
                 connections.retain(|connection| {
-                    let open = connection.is_open();
+                    let open = connection.connection.is_open_and_quiet();
                     if !open {
                         self.counters.connections_found_closed.increment();
                     }
--- a/crates/agent/tests/connection_pool.rs
+++ b/crates/agent/tests/connection_pool.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 use tulipwall_agent::observability::counters::Counters;
 use tulipwall_agent::protocol::connection::Connection;
+use tulipwall_agent::protocol::postgres::ResponseReader;
 use tulipwall_agent::runtime::reactor;
+use tulipwall_agent::upstream::active_connection::ReuseError;
 use tulipwall_agent::upstream::limits::ConnectionLimits;
 use tulipwall_agent::upstream::pool::{ConnectionPool, PooledConnection};
 use tulipwall_discovery::clock::Clock;
@@ -136,3 +138,16 @@
         assert_eq!(visited_by_eviction, 1);
     });
 }
+
+/// Guards against a connection that serves another request while a response is still owed on it.
+#[test]
+fn ends_no_exchange_before_its_response_is_complete() {
+    run(async {
+        let fixture = PoolFixture::new();
+        let pooled = fixture.connection(time_since_start(0)).await;
+        let active = pooled.begin_exchange(time_since_start(1));
+        let nothing_received = ResponseReader::default();
+        let ended = active.end_exchange(&nothing_received, time_since_start(2));
+        assert_eq!(ended.err(), Some(ReuseError::IncompleteResponse));
+    });
+}
