Close a connection whose response leaves a transaction open

A request could run inside a transaction that an earlier one had left open, and be rolled back with it after it was answered.

Cause: ready-for-query was accepted with any transaction status, and the status was dropped.

Change: ResponseReader keeps the status; a connection with an open or failed transaction is closed after its response and counted as malformed. The response itself counts as before.

--- a/crates/agent/src/protocol/postgres/response.rs
+++ b/crates/agent/src/protocol/postgres/response.rs
@@ -33,8 +33,28 @@
     rows: usize,
     /// Whether the row description was received.
     described: bool,
-    /// Whether ready-for-query was received.
-    complete: bool,
+    /// The status with which ready-for-query ended the response; `None` until then.
+    end: Option<TransactionStatus>,
+}
+
+/// The state of the session after a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransactionStatus {
+    /// No transaction is open.
+    Idle,
+    /// A transaction is open, or has failed and was not yet rolled back.
+    Open,
+}
+
+impl TransactionStatus {
+    /// Parses the body of ready-for-query.
+    fn parse(body: &[u8]) -> Option<TransactionStatus> {
+        match body {
+            b"I" => Some(TransactionStatus::Idle),
+            b"T" | b"E" => Some(TransactionStatus::Open),
+            _ => None,
+        }
+    }
 }
 
 impl MessageReader for ResponseReader {
@@ -58,8 +78,9 @@
             b'N' => return Ok(false),
             // Ready-for-query ends a response only once its outcome is known. Before that the
             // endpoint still owes the response, which would be read as that to the next request.
-            b'Z' if matches!(body, b"I" | b"T" | b"E") && !open && !self.complete => {
-                self.complete = true;
+            b'Z' if !open && self.end.is_none() => {
+                let status = TransactionStatus::parse(body);
+                self.end = Some(status.ok_or(PostgresError::UnexpectedMessage(tag))?);
                 return Ok(true);
             }
             b'E' if open => {
@@ -81,9 +102,10 @@
 }
 
 impl ResponseReader {
-    /// Returns whether the response was received to its end.
-    pub fn is_complete(&self) -> bool {
-        self.complete
+    /// Returns the state of the session after the response; `None` until the response was received
+    /// to its end.
+    pub fn end(&self) -> Option<TransactionStatus> {
+        self.end
     }
 
     fn on_error(&mut self, body: &[u8]) -> Result<(), PostgresError> {
--- a/crates/agent/src/upstream/active_connection.rs
+++ b/crates/agent/src/upstream/active_connection.rs
@@ -1,7 +1,7 @@
 //! A connection on which a request is written and its response read.
 
 use crate::protocol::connection::Connection;
-use crate::protocol::postgres::ResponseReader;
+use crate::protocol::postgres::{ResponseReader, TransactionStatus};
 use crate::upstream::limits::ConnectionPermit;
 use crate::upstream::pool::PooledConnection;
 use std::time::Duration;
@@ -25,6 +25,9 @@
     /// The endpoint still owes a part of the response.
     #[error("the response is incomplete")]
     IncompleteResponse,
+    /// The request left a transaction open, in which the next one would run.
+    #[error("the response leaves a transaction open")]
+    OpenTransaction,
     /// The endpoint sent data behind the response.
     #[error("data follows the response")]
     UnsolicitedData,
@@ -51,8 +54,10 @@
         response: &ResponseReader,
         now: Duration,
     ) -> Result<PooledConnection, ReuseError> {
-        if !response.is_complete() {
-            return Err(ReuseError::IncompleteResponse);
+        match response.end() {
+            None => return Err(ReuseError::IncompleteResponse),
+            Some(TransactionStatus::Open) => return Err(ReuseError::OpenTransaction),
+            Some(TransactionStatus::Idle) => {}
         }
         if !self.connection.receive_buffer.is_empty() {
             return Err(ReuseError::UnsolicitedData);
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -5,7 +5,7 @@
 use crate::protocol::connection::Connection;
 use crate::protocol::postgres::{self, MessageReader, QueryOutcome, ResponseReader};
 use crate::protocol::statement::Statement;
-use crate::upstream::active_connection::ActiveConnection;
+use crate::upstream::active_connection::{ActiveConnection, ReuseError};
 use crate::upstream::connect::{open_connection, ConnectError};
 use crate::upstream::pool::PooledConnection;
 use crate::upstream::response::{read_response, ResponseError};
@@ -211,13 +211,23 @@
     match active.end_exchange(response, agent.clock.now()) {
         Ok(pooled) => agent.return_connection(target, pooled),
         Err(error) => {
-            agent.counters.responses_unsolicited.increment();
+            count_reuse_error(agent, error);
             let name = agent.endpoints.name(target.endpoint);
             log::debug!("endpoint {name}: {error}; its connection is closed");
         }
     }
 }
 
+fn count_reuse_error(agent: &Agent, error: ReuseError) {
+    let counters = &agent.counters;
+    match error {
+        ReuseError::UnsolicitedData => counters.responses_unsolicited.increment(),
+        ReuseError::IncompleteResponse | ReuseError::OpenTransaction => {
+            counters.responses_malformed.increment();
+        }
+    }
+}
+
 /// Records the fault of a response. `interrupted` says that the connection ended after the response
 /// had begun and before it was complete.
 fn record_fault(
--- a/crates/agent/tests/response_ownership.rs
+++ b/crates/agent/tests/response_ownership.rs
@@ -119,3 +119,25 @@
         assert_eq!(received.load(Ordering::SeqCst), 0, "{unsolicited:?}");
     }
 }
+
+/// Guards against a request that runs inside a transaction which another one left open.
+#[test]
+fn closes_a_connection_whose_response_leaves_a_transaction_open() {
+    for status in [b'T', b'E'] {
+        let second_queries = Arc::<AtomicUsize>::default();
+        let counted = second_queries.clone();
+        let replies = two_replies(move |connection| {
+            connection.complete_startup()?;
+            let first = connection.read_query()?;
+            let mut response = pg::value_reply(first.object.as_bytes());
+            response.pop();
+            response.push(status);
+            connection.send(&response)?;
+            connection.read_query()?;
+            counted.fetch_add(1, Ordering::SeqCst);
+            connection.answer_with_objects()
+        });
+        assert_eq!(replies, [value_of("first"), value_of("second")]);
+        assert_eq!(second_queries.load(Ordering::SeqCst), 0);
+    }
+}
