Client: take no rejection behind the beginning of a value as proof that nothing ran

A payment of which an agent had sent the row description and then a rejection would be repeated at another agent.

Cause: the error's code alone decided.

Change: such a response is malformed, so the call may have run.

--- a/crates/client-policy/src/response/mod.rs
+++ b/crates/client-policy/src/response/mod.rs
@@ -135,13 +135,23 @@
             }
             // The response to an empty query. This library never sends one.
             b'I' if !in_result && body.is_empty() => self.session_ready = true,
-            b'E' if self.error.is_none() => self.error = Some(parse_error(body)?),
+            b'E' if self.error.is_none() => self.error = Some(self.on_error(body)?),
             b'Z' if matches!(body, [b'I' | b'T' | b'E']) => return self.on_ready().map(Some),
             _ => return Err(ProtocolError::UnexpectedMessage { tag }),
         }
         Ok(None)
     }
 
+    /// Parses an error. A request whose value was begun has run, so a rejection is invalid then.
+    fn on_error(&self, body: &[u8]) -> Result<Response, ProtocolError> {
+        let error = parse_error(body)?;
+        let rejects = matches!(error, Response::Rejected { .. } | Response::Draining);
+        if rejects && self.row_described {
+            return Err(ProtocolError::UnexpectedMessage { tag: b'E' });
+        }
+        Ok(error)
+    }
+
     fn on_notice(&mut self) -> Result<(), ProtocolError> {
         self.notices += 1;
         if self.notices > MAX_NOTICES {
--- a/crates/client-policy/tests/response.rs
+++ b/crates/client-policy/tests/response.rs
@@ -95,6 +95,19 @@
     }
 }
 
+/// Guards against a second run of a call that is not idempotent: an agent that has begun to send
+/// the value has run it, whatever it sends then.
+#[test]
+fn takes_no_rejection_behind_the_beginning_of_a_value_as_proof_that_nothing_ran() {
+    let value = value_response(b"x");
+    let row_description = &value[..30];
+    for code in [&b"C53300"[..], b"C57P03"] {
+        let bytes = [row_description, &error_response(code)].concat();
+        let parsed = ResponseParser::new(9).feed(&bytes);
+        assert!(parsed.is_err(), "{parsed:?}");
+    }
+}
+
 #[test]
 fn parses_any_bytes_without_panic_and_flipped_bytes_without_a_wrong_length() {
     fn parse_flipped(bytes: Vec<u8>, flips: Vec<(u16, u8)>) {
