Client: use a connection only between whole exchanges

What callers saw: a call got the value of the one before it, where an agent was ready without having sent a value or an error; beside an agent that sends anything behind its startup, the first call failed as malformed or got that.

Cause: such an end of a response passed for the reply to a startup message and put the connection back into the pool. Data behind the startup was dropped in part, and the connection was used.

Change: ready alone is no response to a request, and its connection is closed. After its startup a connection has to be quiet. That data followed a response is a state of its own in place of a lifetime of zero.

--- a/crates/client/src/acquire.rs
+++ b/crates/client/src/acquire.rs
@@ -160,13 +160,13 @@
         }
     }
 
-    /// Returns a connection to the pool, unless its lifetime has ended.
+    /// Returns a connection to the pool, unless it may serve no other request.
     pub fn put_back(&self, pooled: PooledConnection<'_>) {
         let PooledConnection {
             mut permit,
             connection,
         } = pooled;
-        if !connection.within_lifetime() {
+        if !connection.is_reusable() {
             return;
         }
         permit.keeps_slot = true;
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -27,6 +27,8 @@
     lifetime: Duration,
     /// Whether a request was sent on the connection before.
     used: bool,
+    /// Whether the agent has sent data that nothing asked for.
+    has_unsolicited_data: bool,
     buffer: Vec<u8>,
 }
 
@@ -81,16 +83,24 @@
             idle_since: now,
             lifetime,
             used: false,
+            has_unsolicited_data: false,
             buffer: Vec::new(),
         };
         connection.stream.write_all(&startup_message()).await?;
         match connection.read_response(0).await {
-            Ok(Response::Ready) => Ok(connection),
+            // Whatever follows the startup would be taken for the response to the first request.
+            Ok(Response::Ready) if connection.is_open_without_data() => Ok(connection),
+            Ok(Response::Ready) => Err(ConnectError::Malformed),
             Ok(Response::Value(_)) | Err(_) => Err(ConnectError::Malformed),
             Ok(refusal) => Err(ConnectError::Refused(refusal)),
         }
     }
 
+    /// Returns whether the connection may serve another request.
+    pub fn is_reusable(&self) -> bool {
+        self.within_lifetime() && !self.has_unsolicited_data
+    }
+
     /// Returns whether the connection is younger than its lifetime.
     pub fn within_lifetime(&self) -> bool {
         self.opened_at.elapsed() < self.lifetime
@@ -105,7 +115,8 @@
     /// request must not be taken for the response to the next one.
     pub fn is_open_without_data(&self) -> bool {
         let peeked = self.stream.get_ref().peek(&mut [0]);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        let is_empty = peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        is_empty && !self.has_unsolicited_data
     }
 
     /// Sends a statement and reads the response. `written` is set once the last byte was written,
@@ -125,7 +136,12 @@
         let response = self.read_response(max_value_bytes).await;
         self.used = true;
         self.idle_since = Instant::now();
-        response
+        match response {
+            // The agent is ready, but has sent neither a value nor an error. It still owes the
+            // response, which would be taken for that to the next request.
+            Ok(Response::Ready) => Err(ProtocolError::IncompleteResponse.into()),
+            response => response,
+        }
     }
 
     async fn read_response(&mut self, max_value_bytes: usize) -> Result<Response, ExchangeError> {
@@ -182,7 +198,7 @@
     /// connection is not used again.
     fn keep_buffer(&mut self, unread: Vec<u8>) {
         if !unread.is_empty() {
-            self.lifetime = Duration::ZERO;
+            self.has_unsolicited_data = true;
         }
         if unread.capacity() <= MAX_KEPT_BUFFER {
             self.buffer = unread;
--- a/crates/client/tests/library.rs
+++ b/crates/client/tests/library.rs
@@ -1,13 +1,17 @@
 //! Tests of the client library against fake agents, including faulty and malicious ones.
 
 use futures_lite::future::block_on;
+use std::io;
 use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 use tulipwall_client::{
     blocking, Call, CallError, Client, ClientConfig, Idempotency, RequestClass,
 };
-use tulipwall_testkit::{Endpoint, EndpointBehavior, ResponseBehavior, ScriptedServer};
+use tulipwall_testkit::{
+    pg, Endpoint, EndpointBehavior, ResponseBehavior, ScriptedConnection, ScriptedEndpoint,
+    ScriptedServer,
+};
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -164,3 +168,82 @@
         (120, 120, 1)
     );
 }
+
+/// Longer than the pause after which an agent is tried again that could not be reached.
+const CALL_TIMEOUT: Duration = Duration::from_secs(8);
+/// The client reads at most this many bytes at once.
+const READ_BYTES: usize = 4096;
+
+/// Starts a fake agent that runs `script` on its first connection and answers as expected on all
+/// others. Calls for two objects one after the other, without retries, and returns the results.
+fn two_calls(
+    script: impl Fn(&mut ScriptedConnection) -> io::Result<()> + Send + Sync + 'static,
+) -> [Result<Vec<u8>, CallError>; 2] {
+    let agent = ScriptedEndpoint::start(move |mut connection| {
+        if connection.index == 0 {
+            return script(&mut connection);
+        }
+        connection.complete_startup()?;
+        connection.answer_with_objects()
+    });
+    let payment = request_class("payment", Idempotency::NonIdempotent);
+    let config = ClientConfig::new(vec![agent.unwrap().address], vec![payment]);
+    let client = blocking::Client::new(config);
+    ["first", "second"].map(|object| {
+        let result = client.call(Call::read("payment", object, CALL_TIMEOUT));
+        thread::sleep(ms(100));
+        result.map(|response| response.value)
+    })
+}
+
+/// Guards against a call that gets the value of another one: an agent that is ready, but has sent
+/// neither a value nor an error, still owes the response.
+#[test]
+fn closes_a_connection_that_is_ready_before_it_has_sent_a_response() {
+    for (early, body) in [(b'I', &[][..]), (b'R', &[0; 4])] {
+        let [first, second] = two_calls(move |connection| {
+            connection.complete_startup()?;
+            let first = connection.read_query()?;
+            connection.send(&[pg::message(early, body), pg::ready()].concat())?;
+            connection.read_query()?;
+            connection.send(&pg::value_reply(first.object.as_bytes()))?;
+            connection.answer_with_objects()
+        });
+        assert!(matches!(first, Err(CallError::Failed { .. })), "{first:?}");
+        assert_eq!(second.unwrap(), b"second");
+    }
+}
+
+/// Returns the reply to a startup message, with a notice that makes it fill one read.
+fn startup_reply_of_one_read() -> Vec<u8> {
+    let reply = pg::startup_reply();
+    let (before, ready) = reply.split_at(reply.len() - pg::ready().len());
+    let padding = vec![b'x'; READ_BYTES - reply.len() - pg::HEADER_BYTES];
+    [before, &pg::message(b'N', &padding), ready].concat()
+}
+
+/// Guards against messages behind the startup that are taken for the response to the first call,
+/// whether they were read with the startup or not.
+#[test]
+fn makes_no_call_on_a_connection_with_messages_behind_its_startup() {
+    let value = pg::value_reply(b"unsolicited");
+    let read_with_startup = [&pg::startup_reply(), &value[..9]].concat();
+    let left_unread = [&startup_reply_of_one_read()[..], &value].concat();
+    for (startup, rest) in [
+        (read_with_startup, value[9..].to_vec()),
+        (left_unread, Vec::new()),
+    ] {
+        let results = two_calls(move |connection| {
+            connection.read_startup()?;
+            connection.send(&startup)?;
+            let first = connection.read_query()?;
+            connection.send(&rest)?;
+            connection.send(&pg::value_reply(first.object.as_bytes()))?;
+            connection.answer_with_objects()
+        });
+        assert_eq!(
+            results.map(Result::unwrap),
+            [b"first".to_vec(), b"second".to_vec()]
+        );
+    }
+}
