Ignore a second reply of the platform to the same call

A second reply to a call carries a rollout status that may have changed since, and the agent would follow it: a higher cap than the present one, until the next report.

Cause: replies were matched by their id for the vote, but the status in any reply was applied.

Change: a connection remembers the last call that was replied to. Ids increase and replies come in their order, so a reply to that call or an earlier one is ignored, with a debug line.

--- a/crates/agent/src/control/platform/calls.rs
+++ b/crates/agent/src/control/platform/calls.rs
@@ -18,4 +18,9 @@
         self.last_id.set(self.last_id.get() + 1);
         self.last_id.get()
     }
+
+    /// Returns whether a call has had this id.
+    pub(super) fn was_issued(&self, id: u64) -> bool {
+        id <= self.last_id.get()
+    }
 }
--- a/crates/agent/src/control/platform/session.rs
+++ b/crates/agent/src/control/platform/session.rs
@@ -6,7 +6,7 @@
 use crate::lifecycle::phase::ControlService;
 use crate::observability::logging::log_evidence;
 use crate::protocol::connection::Connection;
-use crate::protocol::platform;
+use crate::protocol::platform::{self, PlatformMessage};
 use crate::protocol::ProtocolError;
 use futures_lite::FutureExt;
 use std::convert::Infallible;
@@ -51,6 +51,8 @@
     connection: Connection,
     /// The id of the call with the last vote written on this connection; `None` before the first.
     last_vote: Option<u64>,
+    /// The id of the last call that was replied to on this connection; `None` before the first.
+    last_reply: Option<u64>,
     /// Whether a complete line was received.
     pub(super) received_line: bool,
 }
@@ -70,6 +72,7 @@
     let session = session.insert(Session {
         connection,
         last_vote: None,
+        last_reply: None,
         received_line: false,
     });
     match session.run(agent, calls).await {
@@ -197,11 +200,33 @@
             self.connection.receive_buffer.consume(length);
             self.received_line = true;
             received = true;
+            if self.is_repeated_reply(calls, &message) {
+                continue;
+            }
             handle_message(agent, calls, message, accepted);
         }
         Ok(received)
     }
 
+    /// Returns whether this is another reply to a call that already has one. Ids increase, and
+    /// replies arrive in the order of the calls.
+    ///
+    /// Guards against a rollout status in it that has changed since the first reply.
+    fn is_repeated_reply(&mut self, calls: &Calls, message: &PlatformMessage) -> bool {
+        let PlatformMessage::Response { id, .. } = message else {
+            return false;
+        };
+        if self.last_reply.is_some_and(|last| *id <= last) {
+            log::debug!("platform: another reply to call {id} is ignored");
+            return true;
+        }
+        // An id that no call has had must not make the replies to all later calls repeated ones.
+        if calls.was_issued(*id) {
+            self.last_reply = Some(*id);
+        }
+        false
+    }
+
     /// Reads an old connection until it ends, for the reply to a vote and for what the platform
     /// reports there before the new connection is open.
     pub(super) async fn drain(mut self, agent: &Agent, calls: &Calls) {
--- a/crates/agent/tests/evidence.rs
+++ b/crates/agent/tests/evidence.rs
@@ -94,3 +94,33 @@
     let default_log = log_under_load("RUST_LOG=info");
     assert!(!default_log.contains("evidence]"), "{default_log}");
 }
+
+/// Guards against a second reply to a call, with a rollout status that has changed since: the agent
+/// would follow it until the platform reports the next one.
+#[test]
+fn ignores_the_rollout_status_in_a_second_reply_to_a_call() {
+    let status = |stage: u32| {
+        format!(r#"{{"image":41,"ring":{stage},"progress":"trial","ceiling":0.5,"lag_ms":100}}"#)
+    };
+    let subscribed = r#"{"jsonrpc":"2.0","id":1,"result":true}"#;
+    let report = format!(
+        r#"{{"jsonrpc":"2.0","method":"ROLLOUT","params":{}}}"#,
+        status(2)
+    );
+    let second_reply = format!(r#"{{"jsonrpc":"2.0","id":1,"result":{}}}"#, status(1));
+    let last_report = report.replace("\"ring\":2", "\"ring\":3");
+    let lines = [subscribed, &report, &second_reply, &last_report, ""].join("\n");
+    let platform = ScriptedServer::start(&lines).unwrap();
+    let cluster = TestCluster::new(&["a"], classes()).unwrap();
+    let mut configuration = cluster.configuration("n1", 0).unwrap();
+    configuration["deployer"]["address"] = platform.address.to_string().into();
+    let command = ["RUST_LOG=info,evidence=debug", BINARY];
+    let agent = AgentProcess::start("env", configuration, &command).unwrap();
+    let reported = |stage: u32| {
+        agent
+            .log()
+            .contains(&format!("rollout build 41 stage {stage} "))
+    };
+    assert!(wait_until(|| reported(3)), "{}", agent.log());
+    assert!(reported(2) && !reported(1), "{}", agent.log());
+}
