Test that timed-out and abandoned requests leave no response to another one

Cause: the paths of a timeout and of a client that leaves were gone through by reading only. Change: two tests force a response after its request is over. Their first form failed, as an abandoned attempt holds the only connection until its end; they have room for more now.

--- a/crates/agent/tests/response_ownership.rs
+++ b/crates/agent/tests/response_ownership.rs
@@ -19,6 +19,8 @@
 /// Shorter than the time for which a connection to an endpoint is not reused that has sent
 /// unsolicited data.
 const SUSPECT_REST: Duration = Duration::from_millis(900);
+/// The delay of a response whose request is over by then.
+const LATE: Duration = Duration::from_millis(300);
 /// The delay of a second response that arrives while its connection rests.
 const PROMPT: Duration = Duration::from_millis(5);
 
@@ -26,24 +28,36 @@
     Reply::Value(object.as_bytes().to_vec())
 }
 
-/// Starts an agent whose only endpoint listens at this address. Its cluster must outlive it.
+/// Starts an agent with room for a single connection, as [`start_agent_with_sockets`] does.
 fn start_agent(endpoint: SocketAddr) -> (AgentProcess, TestCluster) {
+    start_agent_with_sockets(endpoint, SOCKETS)
+}
+
+/// Starts an agent whose only endpoint listens at this address. Its cluster must outlive it.
+fn start_agent_with_sockets(endpoint: SocketAddr, sockets: usize) -> (AgentProcess, TestCluster) {
     let cluster = TestCluster::new(&["a"], agent_process::classes()).unwrap();
     let behavior = EndpointBehavior::default();
     cluster.add_endpoint(0, "s-0", 41, behavior).unwrap();
     let discovery = &cluster.discovery;
     discovery.update_entry("s-0", |entry| entry.addresses = vec![endpoint]);
     let mut configuration = cluster.configuration("n1", 0).unwrap();
-    configuration["limits"]["sockets"] = SOCKETS.into();
+    configuration["limits"]["sockets"] = sockets.into();
     let agent = AgentProcess::start(BINARY, configuration, &[]).unwrap();
     (agent, cluster)
 }
 
-/// Requests an object, with a class that is never attempted a second time once it may have run.
-fn request(client: &mut TestClient, object: &str) -> Reply {
-    let comment = format!("id=r-{object},c=payment,d=1000");
+/// Sends a request for an object, with a class that is never attempted a second time once it may
+/// have run.
+fn send_request(client: &mut TestClient, object: &str, timeout: Duration) {
+    let timeout_ms = timeout.as_millis();
+    let comment = format!("id=r-{object},c=payment,d={timeout_ms}");
     let text = format!("SELECT body FROM objects WHERE oid = '{object}' /* {comment} */");
     client.send_statement(&text);
+}
+
+/// Requests an object as [`send_request`] does.
+fn request(client: &mut TestClient, object: &str) -> Reply {
+    send_request(client, object, Duration::from_secs(1));
     client.read_reply().unwrap()
 }
 
@@ -192,3 +206,59 @@
     });
     assert!(in_time, "no request was sent in time");
 }
+
+/// Runs an endpoint that answers its first query only after `LATE`, when the request is over.
+/// Returns the agent, which has room for some connections, and the number of further queries on the
+/// connection of the first.
+fn start_late_endpoint() -> (AgentProcess, TestCluster, Arc<AtomicUsize>) {
+    let further_queries = Arc::<AtomicUsize>::default();
+    let counted = further_queries.clone();
+    let queries = AtomicUsize::new(0);
+    let endpoint = ScriptedEndpoint::start(move |mut connection| {
+        connection.complete_startup()?;
+        let first = connection.read_query()?;
+        let response = pg::value_reply(first.object.as_bytes());
+        if queries.fetch_add(1, Ordering::SeqCst) > 0 {
+            connection.send(&response)?;
+            return connection.answer_with_objects();
+        }
+        sleep(LATE);
+        connection.send(&response)?;
+        connection.read_query()?;
+        counted.fetch_add(1, Ordering::SeqCst);
+        connection.answer_with_objects()
+    });
+    let (agent, cluster) = start_agent_with_sockets(endpoint.unwrap().address, SOCKETS + 8);
+    (agent, cluster, further_queries)
+}
+
+/// Guards against a connection that is reused after its request has timed out and before its
+/// endpoint has answered.
+#[test]
+fn reuses_no_connection_whose_request_has_timed_out() {
+    let (agent, _cluster, further_queries) = start_late_endpoint();
+    let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
+    send_request(&mut client, "first", LATE / 2);
+    let first = client.read_reply().unwrap();
+    assert!(matches!(first, Reply::Failed(_)), "{first:?}");
+    assert_eq!(request(&mut client, "second"), value_of("second"));
+    sleep(LATE);
+    assert_eq!(request(&mut client, "third"), value_of("third"));
+    assert_eq!(further_queries.load(Ordering::SeqCst), 0);
+}
+
+/// Guards against a connection that is reused after its client has left and before its endpoint has
+/// answered.
+#[test]
+fn gives_no_client_the_response_to_one_that_has_left() {
+    let (agent, _cluster, _) = start_late_endpoint();
+    let mut leaving = TestClient::connect(agent.address().unwrap()).unwrap();
+    send_request(&mut leaving, "first", Duration::from_secs(1));
+    sleep(PROMPT);
+    drop(leaving);
+    let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
+    for object in ["second", "third", "fourth"] {
+        assert_eq!(request(&mut client, object), value_of(object));
+        sleep(LATE / 2);
+    }
+}
