Test memory, service and departed clients under crowds and floods; seven tests fail

Change: a client of the testkit that writes in pieces without blocking, for crowds; tests of the three pictures of the report: crowds of 530 clients at the lowest limits (32 MB, 1,024 descriptors), one client at full speed, clients that leave.

An unknown class is quoted with all of its 100 KB. 16,640 encryption requests are answered before another client's request. One request is sent 0.3 s after its client left; an id runs twice when it comes again after its client left.

--- a/crates/testkit/src/agent_process/mod.rs
+++ b/crates/testkit/src/agent_process/mod.rs
@@ -113,6 +113,22 @@
         self.child.id()
     }
 
+    /// Returns a size from the process's status file in KiB, such as `VmHWM`, its peak resident
+    /// size.
+    pub fn memory_kib(&self, field: &str) -> io::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let size = status.lines().find_map(|line| {
+            let value = line.strip_prefix(field)?.strip_prefix(':')?;
+            value.trim().strip_suffix(" kB")?.parse().ok()
+        });
+        size.ok_or_else(|| io::Error::other(format!("no size {field} in the status file")))
+    }
+
+    /// Returns whether the process is still running.
+    pub fn is_running(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_none())
+    }
+
     /// Suspends the process with SIGSTOP, or resumes it with SIGCONT, to simulate a stall.
     ///
     /// Waits until the process has changed state, because the signal takes effect with a delay on a
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`TestCluster`]: zones with [`Endpoint`]s, a [`Discovery`] service and a [`Platform`].
 //! - [`TestClient`]: one blocking client for single requests. [`Load`]: an open-loop load generator
 //!   with many clients.
+//! - [`RawClient`]: a client that writes chosen bytes in pieces, for crowds of them.
 //! - [`AgentProcess`]: an agent that runs as a child process, with its configuration.
 //! - [`ScriptedServer`]: a server that sends fixed bytes, for replies that no fake sends.
 //! - [`ScriptedEndpoint`]: an endpoint whose every byte is chosen by a test.
@@ -26,6 +27,7 @@
 pub mod load;
 pub mod pg;
 pub mod platform;
+pub mod raw_client;
 pub mod registry;
 pub mod runtime;
 pub mod scripted_endpoint;
@@ -44,6 +46,7 @@
 };
 pub use load::{ConnectionUse, Load, LoadReport};
 pub use platform::{Platform, RolloutStatus, StagedRollout};
+pub use raw_client::RawClient;
 pub use registry::{Entry, Registry};
 pub use scripted_endpoint::{ScriptedConnection, ScriptedEndpoint, ScriptedQuery};
 pub use scripted_server::ScriptedServer;
