Count all long blocks against the memory limit, and let responses wait for memory

Cause: only receive buffers and statements were counted. Not counted: values while they are read and written, replies kept by idle clients, parts of statements, ids (twice), the times of pipelined messages (16 bytes for a message of 6), clients beyond the places. Nothing held back responses, and a client's buffer grew to its message's length before memory was looked at.

Change: a block over 4 KiB counts, whoever holds it; the first 4 KiB of each connection belong to its fixed size, so short messages never wait. A long message waits in turn for its memory and for that of its copy: a client's is rejected (53300) after 0.3 s, an endpoint's waits in the kernel, up to its deadline. Responses may fill twice what requests may, so requests that were read can end; who holds a response's memory waits for nobody but the client that reads it, and that client has 1 s without progress and 3 s in all while others wait. A statement holds its text once and is written in pieces; an error quotes 40 characters of an unknown class.

--- a/crates/agent/src/agent/mod.rs
+++ b/crates/agent/src/agent/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint_directory;
 mod executors;
 mod limits;
+mod memory_gate;
 mod reload;
 
 pub use config_state::ConfigState;
@@ -12,6 +13,7 @@
 pub use endpoint_directory::{EndpointDirectory, ListUpdate};
 pub use executors::Executors;
 pub use limits::{has_room_for_huge_pages, MemoryLimitTooLow, ResourceLimits, MIN_BUFFERED_BYTES};
+pub use memory_gate::MemoryGate;
 
 use crate::balancer_handle::BalancerHandle;
 use crate::lifecycle::phase::Lifecycle;
@@ -228,7 +230,8 @@
             Some(divergences) => format!("; watched: {divergences}"),
             None => String::new(),
         };
-        format!("kept: clients {clients} listed {listed} requests {requests} endpoints {endpoints} builds {builds} keys {keys}{divergences}")
+        let memory = self.limits.memory_summary();
+        format!("kept: clients {clients} listed {listed} requests {requests} endpoints {endpoints} builds {builds} keys {keys}; {memory}{divergences}")
     }
 
     /// Logs a warning if the memory limit is too low for the process.
--- a/crates/agent/src/balancer_handle.rs
+++ b/crates/agent/src/balancer_handle.rs
@@ -4,6 +4,7 @@
 use crate::observability::counters::Counters;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::*;
@@ -18,7 +19,8 @@
     clock: Rc<Clock>,
     counters: Rc<Counters>,
     next_request_id: Cell<u64>,
-    open_ids: RefCell<HashSet<String>>, // ids that clients gave to their active requests
+    open_ids: RefCell<HashSet<u64>>, // hashes of the ids of active requests
+    id_hasher: RandomState,
     rollout: RefCell<Option<RolloutStatus>>,
     rollout_revision: Cell<u64>, // number of changes of the rollout status so far
     shadow: RefCell<Option<ShadowEvaluator>>,
@@ -43,12 +45,12 @@
 /// Keeps a request registered under its client's id until the guard is dropped.
 pub struct OpenRequestGuard<'a> {
     handle: &'a BalancerHandle,
-    id: String,
+    id_hash: u64,
 }
 
 impl Drop for OpenRequestGuard<'_> {
     fn drop(&mut self) {
-        self.handle.open_ids.borrow_mut().remove(&self.id);
+        self.handle.open_ids.borrow_mut().remove(&self.id_hash);
     }
 }
 
@@ -73,6 +75,7 @@
             counters,
             next_request_id: Cell::default(),
             open_ids: RefCell::default(),
+            id_hasher: RandomState::new(),
             rollout: RefCell::default(),
             rollout_revision: Cell::default(),
             shadow: RefCell::default(),
@@ -83,10 +86,11 @@
     /// Registers a request under its client's id. Returns `None` while another request is open
     /// under this id, as their responses could not be distinguished.
     pub fn open_request(&self, id: &str) -> Option<OpenRequestGuard<'_>> {
-        let inserted = self.open_ids.borrow_mut().insert(id.to_owned());
+        let id_hash = self.id_hasher.hash_one(id);
+        let inserted = self.open_ids.borrow_mut().insert(id_hash);
         inserted.then(|| OpenRequestGuard {
             handle: self,
-            id: id.to_owned(),
+            id_hash,
         })
     }
 
--- a/crates/agent/src/lifecycle/listener.rs
+++ b/crates/agent/src/lifecycle/listener.rs
@@ -3,7 +3,7 @@
 
 use super::phase::Phase;
 use crate::agent::Agent;
-use crate::protocol::buffer::MAX_RETAINED_CAPACITY;
+use crate::protocol::buffer::BASE_CAPACITY;
 use crate::protocol::connection::Connection;
 use crate::runtime::reactor::Source;
 use crate::runtime::timer::Timer;
@@ -20,6 +20,9 @@
 const MIN_QUEUE_LENGTH: usize = 128;
 /// The buffers of clients from the accept queue may take the buffer memory divided by this.
 const QUEUE_MEMORY_DIVISOR: usize = 4;
+/// What a client from the accept queue may take at once, in buffers of the base capacity: its own,
+/// and the state of its request.
+const BUFFERS_PER_CLIENT: usize = 4;
 /// Delay before accepting again when no socket is free or accepting has failed.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -41,7 +44,7 @@
 /// back, so together they may take at most a quarter of the buffer memory.
 fn queue_length(agent: &Agent) -> usize {
     let queue_memory = agent.limits.max_buffered_bytes() / QUEUE_MEMORY_DIVISOR;
-    let max_buffers = queue_memory / MAX_RETAINED_CAPACITY;
+    let max_buffers = queue_memory / (BUFFERS_PER_CLIENT * BASE_CAPACITY);
     let max_clients = agent.limits.connections.max_clients();
     max_clients.min(max_buffers).max(MIN_QUEUE_LENGTH)
 }
--- a/crates/agent/src/observability/counters.rs
+++ b/crates/agent/src/observability/counters.rs
@@ -67,6 +67,18 @@
     pub requests_failed: Counter,
     /// Requests whose client disconnected before the response.
     pub requests_abandoned: Counter,
+    /// Messages of clients that were rejected because no memory was free for them.
+    pub requests_without_memory: Counter,
+    /// Requests for which nothing more was sent as their client had written more ahead than the
+    /// agent reads.
+    pub requests_read_ahead_exceeded: Counter,
+    /// Requests that were refused as an earlier one with their id may have run after its client had
+    /// left.
+    pub requests_repeated_id: Counter,
+    /// Responses of endpoints that had to wait for memory.
+    pub responses_awaiting_memory: Counter,
+    /// Clients that were disconnected as they held memory that others waited for.
+    pub clients_closed_for_memory: Counter,
     /// Attempts that were sent on a new connection.
     pub connections_opened: Counter,
     /// Attempts that were sent on a pooled connection.
@@ -139,6 +151,13 @@
         write!(f, "votes {} ", c.votes_sent)?;
         write!(f, "disconnects {}; ", c.platform_disconnects)?;
 
-        write!(f, "admin: dropped {}", c.admin_dropped)
+        write!(f, "admin: dropped {}; ", c.admin_dropped)?;
+
+        write!(f, "refused: no_memory {} ", c.requests_without_memory)?;
+        write!(f, "read_ahead {} ", c.requests_read_ahead_exceeded)?;
+        write!(f, "repeated_id {}; ", c.requests_repeated_id)?;
+
+        write!(f, "memory: awaited {} ", c.responses_awaiting_memory)?;
+        write!(f, "clients_closed {}", c.clients_closed_for_memory)
     }
 }
--- a/crates/agent/src/protocol/buffer.rs
+++ b/crates/agent/src/protocol/buffer.rs
@@ -1,10 +1,11 @@
-//! The receive buffer of a connection. It grows on demand and is compacted in place. All buffered
-//! bytes of the process are counted, so that reading can be suspended while memory is short.
+//! The receive buffer of a connection. It grows on demand and is compacted in place. What buffers
+//! hold beyond a small base is counted, so that reading can be suspended while memory is short.
 
 use std::cell::Cell;
 
 thread_local! {
     static RESERVED_BYTES: Cell<usize> = const { Cell::new(0) };
+    static PEAK_RESERVED_BYTES: Cell<usize> = const { Cell::new(0) };
 }
 
 /// A number of bytes that count as buffered until the reservation is dropped.
@@ -19,8 +20,11 @@
         reservation
     }
 
-    fn resize(&mut self, bytes: usize) {
-        RESERVED_BYTES.set(RESERVED_BYTES.get() + bytes - self.0);
+    /// Replaces the number of reserved bytes.
+    pub fn resize(&mut self, bytes: usize) {
+        let total = RESERVED_BYTES.get() + bytes - self.0;
+        RESERVED_BYTES.set(total);
+        PEAK_RESERVED_BYTES.set(PEAK_RESERVED_BYTES.get().max(total));
         self.0 = bytes;
     }
 
@@ -28,6 +32,11 @@
     pub fn total() -> usize {
         RESERVED_BYTES.get()
     }
+
+    /// Returns the highest total so far.
+    pub fn peak() -> usize {
+        PEAK_RESERVED_BYTES.get()
+    }
 }
 
 impl Drop for MemoryReservation {
@@ -36,10 +45,19 @@
     }
 }
 
-/// The minimum free space for a read, in bytes.
-const MIN_READ_SPACE: usize = 4096;
-/// A buffer that becomes empty releases its memory if its capacity exceeds this number of bytes.
-pub const MAX_RETAINED_CAPACITY: usize = 16 * 1024;
+/// The capacity in bytes up to which a buffer is not counted: it belongs to the size of its
+/// connection. So a short message can always be read, however much memory long ones hold.
+pub const BASE_CAPACITY: usize = 4096;
+
+/// Returns how many bytes of a block of this size count as buffered: a block of up to
+/// [`BASE_CAPACITY`] belongs to the size of its connection.
+pub fn counted_bytes(block: usize) -> usize {
+    if block > BASE_CAPACITY {
+        block
+    } else {
+        0
+    }
+}
 
 /// A buffer of the bytes that were received and not yet consumed.
 #[derive(Default)]
@@ -66,48 +84,57 @@
         self.end - self.start
     }
 
-    /// Removes the first `count` unread bytes, or all if there are fewer.
+    /// Returns whether more can be received without growing beyond the present capacity, or beyond
+    /// [`BASE_CAPACITY`].
+    pub fn has_space(&self) -> bool {
+        self.len() < self.bytes.len().max(BASE_CAPACITY)
+    }
+
+    /// Removes the first `count` unread bytes, or all if there are fewer. A buffer that becomes
+    /// empty releases what it holds beyond [`BASE_CAPACITY`].
     pub fn consume(&mut self, count: usize) {
         self.start = self.start.saturating_add(count).min(self.end);
         if self.is_empty() {
             self.start = 0;
             self.end = 0;
-            if self.bytes.len() > MAX_RETAINED_CAPACITY {
-                self.bytes = Vec::new();
+            if self.bytes.len() > BASE_CAPACITY {
+                self.set_storage(Vec::new());
             }
-            self.reservation.resize(self.bytes.len());
         }
     }
 
-    /// Releases the buffer's memory if it holds no unread bytes.
-    pub fn release_if_empty(&mut self) {
-        if self.is_empty() {
-            *self = Buffer::default();
+    /// Returns by how many bytes the capacity grows if a message of `length` bytes is to be held;
+    /// 0 if it has space.
+    pub fn growth_for(&self, length: usize) -> usize {
+        let current = self.bytes.len().max(BASE_CAPACITY);
+        if length <= current {
+            0
+        } else {
+            length + BASE_CAPACITY - current
         }
     }
 
-    /// Grows the buffer to hold `length` unread bytes in one step, once it holds at least as many
-    /// as the minimum space for a read.
+    /// Grows the buffer to hold a message of `length` unread bytes and the beginning of the next
+    /// one, in one step.
     ///
     /// Prevents the process from exceeding its memory limit: a buffer that grows by doubling frees
     /// a block of each size, which the allocator keeps for a second and which is not counted. This
     /// is harmful if a client sends the first bytes of a message and never the rest: the whole
     /// capacity counts until the client's receive timeout.
     pub fn reserve(&mut self, length: usize) {
-        let capacity = length + MIN_READ_SPACE;
-        if self.len() < MIN_READ_SPACE || self.bytes.len() >= capacity {
+        if self.growth_for(length) == 0 {
             return;
         }
-        let mut bytes = vec![0; capacity];
+        let mut storage = vec![0; length + BASE_CAPACITY];
         let unread = self.unread();
-        bytes[..unread.len()].copy_from_slice(unread);
-        self.end = unread.len();
+        storage[..unread.len()].copy_from_slice(unread);
+        self.end -= self.start;
         self.start = 0;
-        self.bytes = bytes;
-        self.reservation.resize(capacity);
+        self.set_storage(storage);
     }
 
-    /// Appends the bytes that `read` writes into the free space. `read` returns their number.
+    /// Appends the bytes that `read` writes into the free space. `read` returns their number. A
+    /// full buffer doubles its capacity first.
     pub fn fill<E>(
         &mut self,
         read: impl FnOnce(&mut [u8]) -> Result<usize, E>,
@@ -119,16 +146,30 @@
     }
 
     fn make_space(&mut self) {
-        if self.bytes.len() - self.end >= MIN_READ_SPACE {
+        if self.bytes.is_empty() {
+            self.set_storage(vec![0; BASE_CAPACITY]);
+        }
+        if self.end < self.bytes.len() {
             return;
         }
-        self.bytes.copy_within(self.start..self.end, 0);
-        self.end -= self.start;
-        self.start = 0;
-        if self.bytes.len() - self.end < MIN_READ_SPACE {
-            self.bytes
-                .resize((self.bytes.len() * 2).max(MIN_READ_SPACE), 0);
-            self.reservation.resize(self.bytes.len());
+        if self.start > 0 {
+            self.bytes.copy_within(self.start..self.end, 0);
+            self.end -= self.start;
+            self.start = 0;
+        } else {
+            let capacity = self.bytes.len();
+            self.reserve((2 * capacity - BASE_CAPACITY).max(capacity + 1));
         }
     }
+
+    /// Returns the number of bytes that count as buffered: the capacity, or 0 for the base.
+    pub fn counted_bytes(&self) -> usize {
+        counted_bytes(self.bytes.len())
+    }
+
+    /// Replaces the storage, whose beginning holds the unread bytes.
+    fn set_storage(&mut self, storage: Vec<u8>) {
+        self.bytes = storage;
+        self.reservation.resize(self.counted_bytes());
+    }
 }
--- a/crates/agent/src/protocol/connection.rs
+++ b/crates/agent/src/protocol/connection.rs
@@ -1,7 +1,7 @@
 //! Non-blocking TCP connections with a receive buffer.
 
 use super::arrivals::ArrivalTracker;
-use super::buffer::Buffer;
+use super::buffer::{Buffer, MemoryReservation, BASE_CAPACITY};
 use crate::runtime::reactor::Source;
 use rustix::net::{AddressFamily, SocketFlags, SocketType};
 use std::cell::Cell;
@@ -69,6 +69,8 @@
     pub receive_buffer: Buffer,
     /// The numbers of bytes transferred over the connection.
     pub traffic: Rc<SocketTraffic>,
+    /// Counts the copy that is made of a long message when it is handled.
+    copy_reservation: MemoryReservation,
     /// When each unread message became complete; `None` unless [`Connection::track_arrivals`] was
     /// called.
     pub arrivals: Option<ArrivalTracker>,
@@ -84,6 +86,7 @@
             source: Source::new(stream)?,
             receive_buffer: Buffer::default(),
             traffic: Rc::default(),
+            copy_reservation: MemoryReservation::default(),
             arrivals: None,
         })
     }
@@ -172,10 +175,32 @@
         self.arrivals = Some(arrivals);
     }
 
+    /// Returns by how many bytes the counted memory grows at most if a message of `length` bytes is
+    /// to be received; 0 if it has space.
+    pub fn growth_for(&self, length: usize) -> usize {
+        match self.receive_buffer.growth_for(length) {
+            0 => 0,
+            growth => 2 * (growth + BASE_CAPACITY),
+        }
+    }
+
+    /// Grows the receive buffer for a message of `length` bytes. From then on the copy counts, too,
+    /// that is made of the message when it is handled.
+    pub fn reserve(&mut self, length: usize) {
+        self.receive_buffer.reserve(length);
+        self.update_copy_reservation();
+    }
+
+    fn update_copy_reservation(&mut self) {
+        let counted = self.receive_buffer.counted_bytes();
+        self.copy_reservation.resize(counted);
+    }
+
     /// Removes the first message, of `length` bytes, and returns when it became complete; `None` if
     /// arrival times are not recorded.
     pub fn consume(&mut self, length: usize) -> Option<Instant> {
         self.receive_buffer.consume(length);
+        self.update_copy_reservation();
         self.arrivals.as_mut()?.on_consumed(length)
     }
 
--- a/crates/agent/src/protocol/error.rs
+++ b/crates/agent/src/protocol/error.rs
@@ -82,6 +82,14 @@
     },
 }
 
+/// The maximum number of characters of a client's text that an error quotes.
+const MAX_QUOTED_CHARS: usize = 40;
+
+/// Returns the beginning of a client's text, short enough for an error message.
+pub fn quote(text: &str) -> String {
+    text.chars().take(MAX_QUOTED_CHARS).collect()
+}
+
 /// An error in a client's statement. The connection stays open.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum StatementError {
@@ -106,7 +114,7 @@
     /// Another request with the same id is in progress.
     #[error("statement: field id: its command is still open")]
     RequestStillOpen,
-    /// The settings do not define the request class. Holds its name.
+    /// The settings do not define the request class. Holds the beginning of its name.
     #[error("statement: field c: unknown lane '{0}'")]
     UnknownClass(String),
 }
--- a/crates/agent/src/protocol/mod.rs
+++ b/crates/agent/src/protocol/mod.rs
@@ -7,6 +7,7 @@
 pub mod arrivals;
 pub mod buffer;
 pub mod connection;
+pub mod counted_bytes;
 pub mod error;
 pub mod http;
 pub mod limits;
--- a/crates/agent/src/protocol/postgres/client.rs
+++ b/crates/agent/src/protocol/postgres/client.rs
@@ -51,6 +51,13 @@
     Ok((bytes.len() >= length).then_some((opening, length)))
 }
 
+/// Returns the length of a message of the startup phase; `None` if the length field is incomplete or
+/// invalid.
+pub fn announced_startup_length(bytes: &[u8]) -> Option<usize> {
+    let length = read_u32(bytes)? as usize;
+    (length <= MAX_STARTUP_LENGTH).then_some(length)
+}
+
 /// Returns the SQL text of a query message, given the message's body.
 pub fn parse_query_text(body: &[u8]) -> Result<&str, ProtocolError> {
     let Some((0, text)) = body.split_last() else {
@@ -103,6 +110,13 @@
     write_error(out, "FATAL", code, "too many clients", None);
 }
 
+/// Appends the rejection of a message for which no memory is free. Nothing of it ran, and a retry is
+/// safe. The connection is closed afterwards.
+pub fn write_out_of_memory(out: &mut Vec<u8>) {
+    let code = SQLSTATE_TOO_MANY_CONNECTIONS;
+    write_error(out, "FATAL", code, "out of memory for long messages", None);
+}
+
 /// Appends the error for a failed request that may have run.
 pub fn write_failed(out: &mut Vec<u8>) {
     let code = SQLSTATE_INTERNAL_ERROR;
--- a/crates/agent/src/protocol/postgres/endpoint.rs
+++ b/crates/agent/src/protocol/postgres/endpoint.rs
@@ -32,16 +32,25 @@
     out
 }
 
+/// The byte that ends the text of a query message.
+pub const QUERY_TERMINATOR: u8 = 0;
+
 /// Returns a simple-query message with the given SQL text.
 pub fn query(text: &str) -> Vec<u8> {
     let mut out = Vec::with_capacity(text.len() + HEADER_LENGTH + 1);
-    out.push(b'Q');
-    out.extend_from_slice(&(text.len() as u32 + 5).to_be_bytes());
+    out.extend_from_slice(&query_header(text.len()));
     out.extend_from_slice(text.as_bytes());
-    out.push(0);
+    out.push(QUERY_TERMINATOR);
     out
 }
 
+/// Returns the header of a simple-query message whose SQL text has `text_length` bytes, without the
+/// [`QUERY_TERMINATOR`] that follows the text.
+pub fn query_header(text_length: usize) -> [u8; HEADER_LENGTH] {
+    let [a, b, c, d] = (text_length as u32 + 5).to_be_bytes();
+    [b'Q', a, b, c, d]
+}
+
 /// Parses the first message of an endpoint. Returns `None` while it is incomplete. A message that
 /// can't be part of a response is detected by its first bytes, so that a value with too long a
 /// declared length is not waited for.
--- a/crates/agent/src/protocol/postgres/response.rs
+++ b/crates/agent/src/protocol/postgres/response.rs
@@ -2,6 +2,7 @@
 
 use super::endpoint::{EndpointError, MessageReader};
 use super::{read_u32, ProtocolError};
+use crate::protocol::counted_bytes::CountedBytes;
 use crate::protocol::error::PostgresError;
 
 /// The bytes of a column description after the column's name.
@@ -24,7 +25,7 @@
 #[derive(Default)]
 pub struct ResponseReader {
     /// The messages of the value, as the endpoint sent them; empty after an error.
-    pub value: Vec<u8>,
+    pub value: CountedBytes,
     /// The outcome of the query; `None` until that is known.
     pub outcome: Option<QueryOutcome>,
     /// The number of requests in flight that the endpoint last reported; `None` if it reported
@@ -110,7 +111,7 @@
 
     fn on_error(&mut self, body: &[u8]) -> Result<(), PostgresError> {
         let error = EndpointError::parse(body)?;
-        self.value = Vec::new();
+        self.value.clear();
         self.outcome = Some(match error {
             EndpointError::Rejected if !self.described => QueryOutcome::Rejected,
             // A query whose value was begun has run, whatever the error says.
--- a/crates/agent/src/protocol/statement.rs
+++ b/crates/agent/src/protocol/statement.rs
@@ -1,37 +1,57 @@
 //! Parsing of clients' statements, which carry the attributes of a request in a comment.
 
-use super::buffer::MemoryReservation;
-use super::error::StatementError;
+use super::buffer::{counted_bytes, MemoryReservation};
+use super::error::{quote, StatementError};
 use super::ProtocolError;
+use std::fmt;
 use std::ops::Range;
 use std::time::Duration;
 
-/// A client's statement and the attributes of its request.
+/// A client's statement and the attributes of its request. It holds its text once, however long its
+/// parts are.
 #[derive(Debug, PartialEq)]
 pub struct Statement {
-    /// The id of the request, which its client chooses.
-    pub id: String,
     /// Whether the request carries a key by which repetitions are deduplicated.
     pub has_deduplication_key: bool,
-    /// The name of the request class.
-    pub class: String,
-    /// The name of the tenant; `None` if the client gives none.
-    pub tenant: Option<String>,
-    /// The object that the statement reads or writes. Requests for the same object have the same
-    /// affinity endpoint.
-    pub object: String,
     /// The time for which the client waits for the response, at most one hour.
     pub client_timeout: Duration,
     /// The client's estimate of the work; `None` if it is missing or unreadable.
     pub estimated_work: Option<Duration>,
     /// Whether the client marks the request as a retry.
     pub is_retry: bool,
-    text: String,
-    /// The position of the timeout's value in `text`.
-    timeout_range: Range<usize>,
+    text: Box<str>,
+    /// The positions of parts in `text`.
+    id: Range<usize>,
+    class: Range<usize>,
+    tenant: Option<Range<usize>>,
+    object: Range<usize>,
+    timeout: Range<usize>,
     _reservation: MemoryReservation,
 }
 
+/// The text of a statement with another timeout, as the pieces of which it consists.
+pub struct TimedStatement<'a> {
+    /// The text up to the timeout.
+    pub before: &'a str,
+    /// The timeout in milliseconds.
+    pub timeout: String,
+    /// The text after the timeout.
+    pub after: &'a str,
+}
+
+impl TimedStatement<'_> {
+    /// Returns the length of the text in bytes.
+    pub fn length(&self) -> usize {
+        self.before.len() + self.timeout.len() + self.after.len()
+    }
+}
+
+impl fmt::Display for TimedStatement<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}{}{}", self.before, self.timeout, self.after)
+    }
+}
+
 /// The pieces of the supported statements, with a quoted literal between any two.
 const SELECT_PIECES: [&str; 2] = ["SELECT body FROM objects WHERE oid = ", ""];
 const INSERT_PIECES: [&str; 3] = [
@@ -42,8 +62,6 @@
 /// Longer timeouts are reduced to this number of milliseconds (one hour), so that sums of times do
 /// not overflow.
 const MAX_TIMEOUT_MS: f64 = 3_600_000.0;
-/// The maximum number of characters of a malformed attribute that an error quotes.
-const MAX_QUOTED_CHARS: usize = 40;
 
 /// The attributes of a comment, before they are checked.
 #[derive(Default)]
@@ -65,8 +83,7 @@
         let mut offset = offset;
         for pair in comment.split(',') {
             let Some((name, value)) = pair.split_once('=') else {
-                let quoted = pair.chars().take(MAX_QUOTED_CHARS).collect();
-                return Err(StatementError::MalformedAttribute(quoted));
+                return Err(StatementError::MalformedAttribute(quote(pair)));
             };
             let value_start = offset + name.len() + 1;
             let value_range = value_start..value_start + value.len();
@@ -113,38 +130,64 @@
         let attributes = Attributes::parse(comment, attributes_start)?;
         let id = attributes.id.ok_or(StatementError::MissingField("id"))?;
         let class = attributes.class.ok_or(StatementError::MissingField("c"))?;
-        let (client_timeout, timeout_range) = attributes
+        let (client_timeout, timeout) = attributes
             .client_timeout
             .ok_or(StatementError::MissingField("d"))?;
         Ok(Statement {
-            id: id.to_owned(),
             has_deduplication_key: attributes.has_deduplication_key,
-            class: class.to_owned(),
-            tenant: attributes.tenant.map(str::to_owned),
-            object: object.to_owned(),
             client_timeout: parse_timeout(client_timeout)?,
             estimated_work: attributes.estimated_work,
             is_retry: attributes.is_retry,
-            text: text.to_owned(),
-            timeout_range,
-            // Twice: the text is stored here, and copied when it is written to an endpoint.
-            _reservation: MemoryReservation::new(text.len() * 2),
+            id: range_within(text, id),
+            class: range_within(text, class),
+            tenant: attributes.tenant.map(|tenant| range_within(text, tenant)),
+            object: range_within(text, object),
+            timeout,
+            text: text.into(),
+            _reservation: MemoryReservation::new(counted_bytes(text.len())),
         })
     }
 
+    /// Returns the id of the request, which its client chooses.
+    pub fn id(&self) -> &str {
+        &self.text[self.id.clone()]
+    }
+
+    /// Returns the name of the request class.
+    pub fn class(&self) -> &str {
+        &self.text[self.class.clone()]
+    }
+
+    /// Returns the name of the tenant; `None` if the client gives none.
+    pub fn tenant(&self) -> Option<&str> {
+        self.tenant.clone().map(|range| &self.text[range])
+    }
+
+    /// Returns the object that the statement reads or writes. Requests for the same object have the
+    /// same affinity endpoint.
+    pub fn object(&self) -> &str {
+        &self.text[self.object.clone()]
+    }
+
     /// Returns the text of the statement with its timeout replaced by `client_timeout`, but at
     /// least 1 ms. The agent passes the time for which it will wait itself.
-    pub fn with_client_timeout(&self, client_timeout: Duration) -> String {
-        let before = &self.text[..self.timeout_range.start];
-        let after = &self.text[self.timeout_range.end..];
+    pub fn with_client_timeout(&self, client_timeout: Duration) -> TimedStatement<'_> {
+        let after = &self.text[self.timeout.end..];
         let separator = if after.starts_with("*/") { " " } else { "" };
-        format!(
-            "{before}{}{separator}{after}",
-            client_timeout.as_millis().max(1)
-        )
+        TimedStatement {
+            before: &self.text[..self.timeout.start],
+            timeout: format!("{}{separator}", client_timeout.as_millis().max(1)),
+            after,
+        }
     }
 }
 
+/// Returns the position of `part`, which is a slice of `text`.
+fn range_within(text: &str, part: &str) -> Range<usize> {
+    let start = (part.as_ptr() as usize).saturating_sub(text.as_ptr() as usize);
+    start..start + part.len()
+}
+
 fn parse_timeout(milliseconds: &str) -> Result<Duration, StatementError> {
     let timeout_ms = milliseconds
         .parse::<f64>()
--- a/crates/agent/src/server/admission.rs
+++ b/crates/agent/src/server/admission.rs
@@ -3,7 +3,7 @@
 
 use crate::agent::Agent;
 use crate::balancer_handle::OpenRequestGuard;
-use crate::protocol::error::StatementError;
+use crate::protocol::error::{quote, StatementError};
 use crate::protocol::statement::Statement;
 use crate::protocol::ProtocolError;
 use std::time::Duration;
@@ -52,7 +52,7 @@
         statement: &Statement,
     ) -> Result<ResolvedRequest, StatementError> {
         let class = resolve_class(config, statement)?;
-        let tenant = match &statement.tenant {
+        let tenant = match statement.tenant() {
             Some(name) => config.tenant_index(name),
             None => None,
         };
@@ -75,8 +75,8 @@
 /// Returns the index of a statement's class. Fails if the class is unknown, or if it is keyed and
 /// the statement carries no deduplication key.
 fn resolve_class(config: &ServiceConfig, statement: &Statement) -> Result<usize, StatementError> {
-    let Some(class) = config.class_index(&statement.class) else {
-        return Err(StatementError::UnknownClass(statement.class.clone()));
+    let Some(class) = config.class_index(statement.class()) else {
+        return Err(StatementError::UnknownClass(quote(statement.class())));
     };
     if config.is_keyed(class) && !statement.has_deduplication_key {
         return Err(StatementError::MissingField("k"));
@@ -89,7 +89,7 @@
     agent: &'a Agent,
     received: &ReceivedStatement,
 ) -> Result<OpenRequestGuard<'a>, Refusal> {
-    let Some(guard) = agent.balancer.open_request(&received.statement.id) else {
+    let Some(guard) = agent.balancer.open_request(received.statement.id()) else {
         return Err(Refusal::RequestStillOpen(StatementError::RequestStillOpen));
     };
     if received.over_pipeline_limit {
--- a/crates/agent/src/server/connection.rs
+++ b/crates/agent/src/server/connection.rs
@@ -7,6 +7,7 @@
 use super::startup::{handle_startup, Step};
 use crate::agent::Agent;
 use crate::protocol::connection::Connection;
+use crate::protocol::counted_bytes::CountedBytes;
 use crate::protocol::error::PostgresError;
 use crate::protocol::postgres;
 use crate::protocol::ProtocolError;
@@ -25,7 +26,7 @@
     agent: &'a Rc<Agent>,
     client: Connection,
     /// The bytes to write next.
-    reply: Vec<u8>,
+    reply: CountedBytes,
     /// Whether the startup is complete.
     started: bool,
     /// When the first request, and later each message that has begun, must be complete; `None`
@@ -48,7 +49,7 @@
         Session {
             agent,
             client,
-            reply: Vec::new(),
+            reply: CountedBytes::default(),
             started: false,
             receive_deadline: Some(agent.clock.now() + RECEIVE_TIMEOUT),
         }
@@ -78,7 +79,8 @@
         if self.started {
             handle_message(self.agent, &mut self.client, &mut self.reply).await
         } else {
-            handle_startup(&mut self.client, &mut self.reply)
+            let client = &mut self.client;
+            self.reply.write_with(|reply| handle_startup(client, reply))
         }
     }
 
@@ -101,22 +103,18 @@
 
     fn on_protocol_error(&mut self, error: &ProtocolError) -> Flow {
         self.agent.counters.requests_invalid.increment();
-        postgres::write_fatal(&mut self.reply, error);
+        self.reply
+            .write_with(|reply| postgres::write_fatal(reply, error));
         Flow::Close
     }
 
     async fn read(&mut self) -> Flow {
-        if self.started {
-            let receive_buffer = &mut self.client.receive_buffer;
-            if let Some(length) = postgres::announced_length(receive_buffer.unread()) {
-                receive_buffer.reserve(length);
-            }
-        }
         if !self.client.receive_buffer.is_empty() {
             self.receive_deadline
                 .get_or_insert(self.agent.clock.now() + RECEIVE_TIMEOUT);
         }
-        match read_input(self.agent, &mut self.client, self.receive_deadline).await {
+        let length = self.announced_length();
+        match read_input(self.agent, &mut self.client, length, self.receive_deadline).await {
             ReadEvent::Data => Flow::Continue,
             ReadEvent::Closed => {
                 self.agent.counters.clients_closed.increment();
@@ -126,6 +124,21 @@
                 self.on_receive_timeout();
                 Flow::Close
             }
+            ReadEvent::OutOfMemory => {
+                self.agent.counters.requests_without_memory.increment();
+                self.reply.write_with(postgres::write_out_of_memory);
+                Flow::Close
+            }
+        }
+    }
+
+    /// Returns the length of the message that has begun to arrive; `None` if it is not known.
+    fn announced_length(&self) -> Option<usize> {
+        let unread = self.client.receive_buffer.unread();
+        if self.started {
+            postgres::announced_length(unread)
+        } else {
+            postgres::announced_startup_length(unread)
         }
     }
 
@@ -137,7 +150,8 @@
             "message"
         };
         let error = PostgresError::ReceiveTimeout { missing };
-        postgres::write_fatal(&mut self.reply, &error.into());
+        self.reply
+            .write_with(|reply| postgres::write_fatal(reply, &error.into()));
     }
 
     async fn write_reply(&mut self) -> std::io::Result<()> {
--- a/crates/agent/src/server/input.rs
+++ b/crates/agent/src/server/input.rs
@@ -1,11 +1,9 @@
 //! Reading from a client, within its receive timeout and the available memory.
 
-use super::limits::{IDLE_BUFFER_DIVISOR, MEMORY_CHECK_INTERVAL, SHORT_RECEIVE_TIMEOUT};
+use super::limits::SHORT_RECEIVE_TIMEOUT;
 use crate::agent::Agent;
 use crate::lifecycle::phase::IdleClientGuard;
-use crate::protocol::buffer::MemoryReservation;
 use crate::protocol::connection::Connection;
-use crate::runtime::reactor::Timer;
 use futures_lite::future::{self, FutureExt};
 use std::io;
 use std::time::Duration;
@@ -18,6 +16,8 @@
     Closed,
     /// The first request or the rest of a message was not received in time.
     TimedOut,
+    /// No memory became free for the rest of a long message.
+    OutOfMemory,
 }
 
 impl From<io::Result<usize>> for ReadEvent {
@@ -29,18 +29,24 @@
     }
 }
 
-/// Reads from the client. `receive_deadline` is set while its first request or the rest of a
-/// message is outstanding. Between requests the agent may close the connection.
+/// Reads from the client. `message_length` is the length of the message that has begun to arrive,
+/// `None` if no message has begun or its length is not known yet. `receive_deadline` is set while
+/// the first request or the rest of a message is outstanding. Between requests the agent may close
+/// the connection.
 pub async fn read_input(
     agent: &Agent,
     client: &mut Connection,
+    message_length: Option<usize>,
     receive_deadline: Option<Duration>,
 ) -> ReadEvent {
-    release_idle_buffer(agent, client);
     let _incomplete_request =
         receive_deadline.map(|_| agent.lifecycle.register_incomplete_request());
     if !client.receive_buffer.is_empty() {
-        return read_remainder(agent, client, receive_deadline).await;
+        let reserved = reserve_message(agent, client, message_length).await;
+        return match reserved {
+            Some(event) => event,
+            None => read_remainder(agent, client, receive_deadline).await,
+        };
     }
     let awaits_first_request = receive_deadline.is_some();
     let idle = agent
@@ -52,22 +58,63 @@
     }
 }
 
-/// Reads the rest of a message. While memory is short the client gets only a short timeout for it:
-/// otherwise clients that each hold half a message would wait for each other's memory.
+/// Waits for the memory that the rest of a long message needs, and reserves it; a short message has
+/// its memory already. Returns the event that ends the wait if there is none for it: the client is
+/// told to come again, as its deadline may be short and others hold the memory.
+async fn reserve_message(
+    agent: &Agent,
+    client: &mut Connection,
+    message_length: Option<usize>,
+) -> Option<ReadEvent> {
+    let length = message_length?;
+    let growth = client.growth_for(length);
+    if growth == 0 {
+        return None;
+    }
+    let limits = &agent.limits;
+    let memory_allows = async {
+        limits
+            .request_memory
+            .wait(|| limits.allows_request_bytes(growth))
+            .await;
+        None
+    };
+    let client_left = async {
+        client.peer_closed().await;
+        Some(ReadEvent::Closed)
+    };
+    let timeout = async {
+        let give_up_at = agent.clock.now() + SHORT_RECEIVE_TIMEOUT;
+        agent.sleep_until(give_up_at).await;
+        Some(ReadEvent::OutOfMemory)
+    };
+    let end = memory_allows.or(client_left).or(timeout).await;
+    if end.is_none() {
+        client.reserve(length);
+    }
+    end
+}
+
+/// Reads the rest of a message. While others wait for memory, a client that sends nothing gets only
+/// a short timeout for it: otherwise clients that each hold half a message would keep the memory
+/// from all others.
 async fn read_remainder(
     agent: &Agent,
     client: &mut Connection,
     receive_deadline: Option<Duration>,
 ) -> ReadEvent {
-    let memory_is_short = is_memory_short(agent);
-    let timeout = async {
-        let receive_deadline = match receive_deadline {
-            Some(at) if memory_is_short => Some(at.min(agent.clock.now() + SHORT_RECEIVE_TIMEOUT)),
-            receive_deadline => receive_deadline,
-        };
-        receive_timeout(agent, receive_deadline).await
+    let memory_claimed = async {
+        loop {
+            let next_check = agent.clock.now() + SHORT_RECEIVE_TIMEOUT;
+            agent.sleep_until(next_check).await;
+            if agent.limits.request_memory.has_waiters() {
+                return ReadEvent::TimedOut;
+            }
+        }
     };
-    read_when_memory_allows(agent, client).or(timeout).await
+    let timeout = receive_timeout(agent, receive_deadline).or(memory_claimed);
+    let read = async { client.read_more().await.into() };
+    read.or(timeout).await
 }
 
 /// Reads the next request, unless the agent asks for the idle connection to be closed before it
@@ -82,7 +129,8 @@
         (&mut idle.close_requested).await;
         ReadEvent::Closed
     };
-    let event = read_when_memory_allows(agent, client)
+    let read = async { client.read_more().await.into() };
+    let event = read
         .or(close_requested)
         .or(receive_timeout(agent, receive_deadline))
         .await;
@@ -109,7 +157,8 @@
         Duration::ZERO
     };
     let timeout = async { receive_timeout(agent, Some(agent.clock.now() + grace)).await };
-    let event = read_when_memory_allows(agent, client).or(timeout).await;
+    let read = async { client.read_more().await.into() };
+    let event = read.or(timeout).await;
     match event {
         ReadEvent::TimedOut if client.is_open_and_quiet() => ReadEvent::Closed,
         ReadEvent::TimedOut => client.read_more().await.into(),
@@ -117,39 +166,6 @@
     }
 }
 
-/// Reads once memory allows: clients are not read while too much is buffered, which leaves the rest
-/// of the memory to the responses of endpoints. A client that closes its connection is read at
-/// once.
-async fn read_when_memory_allows(agent: &Agent, client: &mut Connection) -> ReadEvent {
-    loop {
-        let memory_allows = async {
-            while is_memory_short(agent) {
-                Timer::after(MEMORY_CHECK_INTERVAL).await;
-            }
-        };
-        memory_allows.or(client.peer_closed()).await;
-        // Polls once instead of waiting: memory that is free now may be in use when the bytes
-        // arrive.
-        if let Some(read) = future::poll_once(client.read_more()).await {
-            return read.into();
-        }
-        client.readable().await;
-    }
-}
-
-/// Prevents the empty buffers of idle clients from using up the memory for all others: they may
-/// hold at most half of what may be buffered. Costs one allocation per request while that much is
-/// in use.
-fn release_idle_buffer(agent: &Agent, client: &mut Connection) {
-    if MemoryReservation::total() > agent.limits.max_buffered_bytes() / IDLE_BUFFER_DIVISOR {
-        client.receive_buffer.release_if_empty();
-    }
-}
-
-fn is_memory_short(agent: &Agent) -> bool {
-    MemoryReservation::total() > agent.limits.max_buffered_bytes()
-}
-
 /// Waits until `receive_deadline`, or forever if it is `None`.
 async fn receive_timeout(agent: &Agent, receive_deadline: Option<Duration>) -> ReadEvent {
     match receive_deadline {
--- a/crates/agent/src/server/limits.rs
+++ b/crates/agent/src/server/limits.rs
@@ -7,16 +7,17 @@
 /// slot.
 pub const RECEIVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The shorter timeout for the first request of a client beyond the client limit or of one that
-/// connects while the agent terminates, and for the rest of a message while memory is short.
+/// connects while the agent terminates, for memory for a long message, and for the rest of a message
+/// while others wait for memory.
 pub const SHORT_RECEIVE_TIMEOUT: Duration = Duration::from_millis(300);
-/// The interval at which the agent checks again whether memory allows reading from a client.
-pub const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// Empty buffers of idle clients may hold the limit on buffered bytes divided by this.
-pub const IDLE_BUFFER_DIVISOR: usize = 2;
 /// The time for which a client may leave its responses unread without reading any byte. Prevents
 /// clients that never read from occupying a slot and from delaying the shutdown. A slow reader
 /// makes progress and is not affected.
 pub const WRITE_PROGRESS_TIMEOUT: Duration = Duration::from_secs(5);
+/// Replaces [`WRITE_PROGRESS_TIMEOUT`] while responses wait for memory.
+pub const SHORT_WRITE_PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
+/// The time within which a client has to read a reply while responses wait for memory.
+pub const SHORT_WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The time for which a client may still write after its last response.
 pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The number of bytes that a client may still write after its last response.
--- a/crates/agent/src/server/message.rs
+++ b/crates/agent/src/server/message.rs
@@ -8,6 +8,7 @@
 use crate::agent::Agent;
 use crate::lifecycle::phase::Phase;
 use crate::protocol::connection::Connection;
+use crate::protocol::counted_bytes::CountedBytes;
 use crate::protocol::error::PostgresError;
 use crate::protocol::postgres;
 use crate::protocol::statement::Statement;
@@ -51,7 +52,7 @@
 pub async fn handle_message(
     agent: &Rc<Agent>,
     client: &mut Connection,
-    reply: &mut Vec<u8>,
+    reply: &mut CountedBytes,
 ) -> Result<Step, ProtocolError> {
     let Some(message) = postgres::parse_message(client.receive_buffer.unread())? else {
         return Ok(Step::NeedMore);
@@ -71,9 +72,11 @@
         Query::Empty => {
             // The load balancer in front of the agent takes this response as a sign of readiness.
             agent.lifecycle.wait_for(Phase::Serving).await;
-            postgres::write_empty_query(reply);
+            reply.write_with(postgres::write_empty_query);
+        }
+        Query::SessionCommand(command) => {
+            reply.write_with(|reply| postgres::write_command_complete(reply, command));
         }
-        Query::SessionCommand(command) => postgres::write_command_complete(reply, command),
         Query::Request(Ok(statement)) => {
             let received = ReceivedStatement {
                 statement,
@@ -86,10 +89,10 @@
         }
         Query::Request(Err(error)) => {
             agent.counters.requests_invalid.increment();
-            postgres::write_statement_error(reply, &error);
+            reply.write_with(|reply| postgres::write_statement_error(reply, &error));
         }
     }
-    postgres::write_ready(reply);
+    reply.write_with(postgres::write_ready);
     if !client.receive_buffer.is_empty() {
         // Lets other tasks run, however much this client has pipelined.
         future::yield_now().await;
@@ -110,7 +113,7 @@
     agent: &Rc<Agent>,
     client: &mut Connection,
     received: ReceivedStatement,
-    reply: &mut Vec<u8>,
+    reply: &mut CountedBytes,
 ) -> Step {
     let _open_request = match admit(agent, &received) {
         Ok(guard) => guard,
--- a/crates/agent/src/server/overflow.rs
+++ b/crates/agent/src/server/overflow.rs
@@ -54,7 +54,12 @@
 /// Rejects a message, unless it is an empty query, which is answered.
 fn reject_message(client: &mut Connection, reply: &mut Vec<u8>) -> Result<Step, ProtocolError> {
     let Some(message) = postgres::parse_message(client.receive_buffer.unread())? else {
-        return Ok(Step::NeedMore);
+        if client.receive_buffer.has_space() {
+            return Ok(Step::NeedMore);
+        }
+        // A long message is rejected by its beginning: no memory is held for what is not served.
+        postgres::write_too_many_clients(reply);
+        return Ok(Step::Close);
     };
     let is_empty_query =
         message.tag == QUERY_TAG && matches!(message.body.trim_ascii(), b"\0" | b";\0");
--- a/crates/agent/src/server/request/mod.rs
+++ b/crates/agent/src/server/request/mod.rs
@@ -74,7 +74,7 @@
         let request = Request {
             class: resolved.class,
             tenant: resolved.tenant,
-            key: Some(stable_hash(&statement.object)),
+            key: Some(stable_hash(statement.object())),
             time_left: deadline.saturating_sub(agent.clock.now()),
             estimated_work: statement.estimated_work,
             is_retry: statement.is_retry,
--- a/crates/agent/src/server/response.rs
+++ b/crates/agent/src/server/response.rs
@@ -2,14 +2,15 @@
 
 use super::admission::Refusal;
 use crate::agent::Agent;
+use crate::protocol::counted_bytes::CountedBytes;
 use crate::protocol::postgres;
 use std::time::Duration;
 
 /// The response with which a request ends for its client.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub enum FinalResponse {
     /// The request succeeded. Holds the messages of the value as the endpoint sent them.
-    Succeeded(Vec<u8>),
+    Succeeded(CountedBytes),
     /// The request was not executed, and a retry is safe.
     Rejected {
         /// The time after which to retry; `None` if the balancer gives none.
@@ -34,7 +35,7 @@
 }
 
 /// Writes a final response into `reply` and counts it.
-pub fn write_final_response(agent: &Agent, reply: &mut Vec<u8>, response: FinalResponse) {
+pub fn write_final_response(agent: &Agent, reply: &mut CountedBytes, response: FinalResponse) {
     let counters = &agent.counters;
     match response {
         FinalResponse::Succeeded(value) => {
@@ -43,31 +44,31 @@
         }
         FinalResponse::Rejected { retry_after } => {
             counters.requests_rejected.increment();
-            postgres::write_rejected(reply, retry_after);
+            reply.write_with(|reply| postgres::write_rejected(reply, retry_after));
         }
         FinalResponse::Failed => {
             counters.requests_failed.increment();
-            postgres::write_failed(reply);
+            reply.write_with(postgres::write_failed);
         }
         FinalResponse::Abandoned => counters.requests_abandoned.increment(),
     }
 }
 
 /// Writes the refusal of a statement into `reply` and counts it.
-pub fn write_refusal(agent: &Agent, reply: &mut Vec<u8>, refusal: &Refusal) {
+pub fn write_refusal(agent: &Agent, reply: &mut CountedBytes, refusal: &Refusal) {
     let counters = &agent.counters;
     match refusal {
         Refusal::RequestStillOpen(error) => {
             counters.requests_invalid.increment();
-            postgres::write_statement_error(reply, &error.clone().into());
+            reply.write_with(|reply| postgres::write_statement_error(reply, &error.clone().into()));
         }
         Refusal::OverPipelineLimit => {
             counters.requests_over_pipeline_limit.increment();
-            postgres::write_rejected(reply, None);
+            reply.write_with(|reply| postgres::write_rejected(reply, None));
         }
         Refusal::Terminating => {
             counters.requests_rejected.increment();
-            postgres::write_rejected(reply, None);
+            reply.write_with(|reply| postgres::write_rejected(reply, None));
         }
     }
 }
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -2,14 +2,17 @@
 
 use crate::agent::Agent;
 use crate::observability::logging::EXCHANGE;
+use crate::protocol::buffer::BASE_CAPACITY;
 use crate::protocol::connection::Connection;
+use crate::protocol::counted_bytes::CountedBytes;
 use crate::protocol::postgres::{self, MessageReader, QueryOutcome, ResponseReader};
-use crate::protocol::statement::Statement;
+use crate::protocol::statement::{Statement, TimedStatement};
 use crate::upstream::active_connection::{ActiveConnection, ReuseError};
 use crate::upstream::connect::{open_connection, ConnectError};
 use crate::upstream::pool::PooledConnection;
 use crate::upstream::response::{read_response, ResponseError};
 use crate::upstream::transfer_meter::TransferMeter;
+use std::io;
 use std::time::Duration;
 use tulipwall::Outcome;
 use tulipwall_discovery::endpoint_table::{AttemptTarget, IndexGuard};
@@ -36,7 +39,7 @@
     /// How the attempt ended.
     pub outcome: Outcome,
     /// The messages of the value, as the endpoint sent them; empty if there is none.
-    pub value: Vec<u8>,
+    pub value: CountedBytes,
 }
 
 impl AttemptResponse {
@@ -44,7 +47,7 @@
     pub fn without_value(outcome: Outcome) -> AttemptResponse {
         AttemptResponse {
             outcome,
-            value: Vec::new(),
+            value: CountedBytes::default(),
         }
     }
 }
@@ -107,10 +110,10 @@
             return Err(Outcome::NotSent);
         }
         let time_left = plan.timeout_at.saturating_sub(agent.clock.now());
-        let query = postgres::query(&statement.with_client_timeout(time_left));
+        let query = statement.with_client_timeout(time_left);
         let mut active = pooled.begin_exchange(agent.clock.now());
         meter.track(active.connection.traffic.clone());
-        let written = active.connection.write(&query).await;
+        let written = write_query(&mut active.connection, &query).await;
         match (written, source) {
             (Ok(()), ConnectionSource::Pool) => {
                 agent.counters.connections_reused.increment();
@@ -128,6 +131,20 @@
     }
 }
 
+/// Writes a query. A long one is written in pieces, which saves a copy.
+async fn write_query(connection: &mut Connection, query: &TimedStatement<'_>) -> io::Result<()> {
+    if query.length() <= BASE_CAPACITY {
+        return connection.write(&postgres::query(&query.to_string())).await;
+    }
+    connection
+        .write(&postgres::query_header(query.length()))
+        .await?;
+    connection.write(query.before.as_bytes()).await?;
+    connection.write(query.timeout.as_bytes()).await?;
+    connection.write(query.after.as_bytes()).await?;
+    connection.write(&[postgres::QUERY_TERMINATOR]).await
+}
+
 async fn acquire_connection(
     agent: &Agent,
     target: AttemptTarget,
@@ -151,7 +168,7 @@
 /// Logs that the request was written.
 fn log_request(agent: &Agent, plan: &AttemptPlan, statement: &Statement, connection: &Connection) {
     log::debug!(target: EXCHANGE, "connection {} to {}: request {} written",
-        connection.number, agent.endpoints.name(plan.target.endpoint), statement.id);
+        connection.number, agent.endpoints.name(plan.target.endpoint), statement.id());
 }
 
 /// Logs how the response ended, and whether bytes follow it.
@@ -167,7 +184,7 @@
     let number = connection.number;
     let bytes_behind = connection.receive_buffer.len();
     let outcome = response.outcome;
-    let id = &statement.id;
+    let id = statement.id();
     match end {
         Ok(()) => log::debug!(target: EXCHANGE,
             "connection {number}: response to {id} ended: outcome {outcome:?}, {bytes_behind} bytes behind it"),
--- a/crates/agent/src/upstream/limits.rs
+++ b/crates/agent/src/upstream/limits.rs
@@ -106,6 +106,11 @@
         self.clients.held.get()
     }
 
+    /// Returns the number of open connections to endpoints.
+    pub fn endpoint_connection_count(&self) -> usize {
+        self.endpoints.held.get()
+    }
+
     /// Returns whether no client is connected, including those that are rejected for lack of
     /// permits.
     pub fn is_without_clients(&self) -> bool {
--- a/crates/agent/src/upstream/response.rs
+++ b/crates/agent/src/upstream/response.rs
@@ -46,7 +46,7 @@
         };
         let length = message.length;
         let ready = response.on_message(message.tag, message.body, &bytes[..length])?;
-        connection.receive_buffer.consume(length);
+        connection.consume(length);
         if ready {
             return Ok(());
         }
@@ -63,6 +63,7 @@
     connection: &mut Connection,
     begun: bool,
 ) -> Result<(), ResponseError> {
+    reserve_message(agent, connection).await;
     let begun = begun || !connection.receive_buffer.is_empty();
     let read = async { connection.read_more().await.map_err(ResponseError::from) };
     let count = if begun {
@@ -76,6 +77,29 @@
     Ok(())
 }
 
+/// Waits until memory allows to hold the message that has begun to arrive, and reserves it. Until
+/// then the rest of the message stays in the kernel's buffers. A message that has its memory never
+/// waits for more, so that each one that has begun can end.
+async fn reserve_message(agent: &Agent, connection: &mut Connection) {
+    let unread = connection.receive_buffer.unread();
+    let Some(length) = postgres::announced_length(unread) else {
+        return;
+    };
+    let growth = connection.growth_for(length);
+    if growth == 0 {
+        return;
+    }
+    let limits = &agent.limits;
+    if !limits.allows_response_bytes(growth) {
+        agent.counters.responses_awaiting_memory.increment();
+    }
+    limits
+        .response_memory
+        .wait(|| limits.allows_response_bytes(growth))
+        .await;
+    connection.reserve(length);
+}
+
 async fn remainder_timeout(agent: &Agent) -> Result<usize, ResponseError> {
     agent
         .sleep_until(agent.clock.now() + REMAINDER_TIMEOUT)
--- a/crates/agent/tests/client_pressure.rs
+++ b/crates/agent/tests/client_pressure.rs
@@ -150,6 +150,11 @@
     ]
     .concat();
     assert_memory_limit_kept(endpoint(5, 2), &SLOW_WRITERS, |_| half.clone());
+    let more_than_places = Crowd {
+        clients: 700,
+        ..FAST_WRITERS
+    };
+    assert_memory_limit_kept(endpoint(5, 2), &more_than_places, |_| half.clone());
 }
 
 #[test]
