Send nothing more for a client whose leaving can't be seen behind unread requests

Seen by callers: a client wrote large requests ahead and closed its connection; one of them was sent to an endpoint 0.3 s after the close.

Cause: the agent read 16 KiB ahead. What lies behind stays in the kernel, and the end of the connection behind that: `peer_closed` waits for an event that can't come before the rest is read. The reset that follows the next reply is seen only after the next request was sent.

Where more is unread, nothing further begins for the request: it is rejected if nothing of it ran, else its attempts in flight are heard out. So a request is only sent when the agent has read all that its client wrote, and would see it leave.

--- a/crates/agent/src/protocol/connection.rs
+++ b/crates/agent/src/protocol/connection.rs
@@ -59,6 +59,15 @@
     DataReceived,
 }
 
+/// What a socket holds behind the data that was read from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// More data. Whether the peer has closed the connection behind it is not known.
+    Data,
+    /// The end of the stream or an error.
+    Closed,
+}
+
 /// A non-blocking TCP connection.
 pub struct Connection {
     /// The number of connections that this process had opened or accepted before this one, which
@@ -145,6 +154,16 @@
         received
     }
 
+    /// Waits until the socket holds data that does not fit into the receive buffer, or until the
+    /// peer has closed its sending direction behind data that was read.
+    pub async fn unread_or_closed(&self) -> Unread {
+        let peek = || self.source.get().peek(&mut [0]);
+        match self.source.read(peek).await {
+            Ok(count) if count > 0 => Unread::Data,
+            _ => Unread::Closed,
+        }
+    }
+
     /// Waits until there may be something to read.
     pub async fn readable(&self) {
         self.source.readable().await;
--- a/crates/agent/src/server/limits.rs
+++ b/crates/agent/src/server/limits.rs
@@ -1,5 +1,6 @@
 //! Limits on the time and the memory that one client may use.
 
+use crate::protocol::postgres::MAX_MESSAGE_LENGTH;
 use std::time::Duration;
 
 /// The time from a client's connection to its first complete request, and from the first byte of a
@@ -26,6 +27,9 @@
 /// being served is rejected at once: responses keep their order, so a later one can't be rejected
 /// first.
 pub const MAX_PIPELINED_REQUESTS: usize = 32;
-/// The number of bytes that a client may write ahead of its responses before the agent stops
-/// reading from it.
-pub const MAX_BYTES_READ_AHEAD: usize = 16 * 1024;
+/// The number of bytes that a client may write ahead of its responses: two messages of the maximum
+/// length. Behind unread bytes the end of a connection can't be seen, so nothing is sent for a
+/// client that has written more.
+pub const MAX_BYTES_READ_AHEAD: usize = 2 * MAX_MESSAGE_LENGTH;
+/// One client may fill at most the memory for requests divided by this by writing ahead.
+pub const READ_AHEAD_DIVISOR: usize = 8;
--- a/crates/agent/src/server/request/events.rs
+++ b/crates/agent/src/server/request/events.rs
@@ -2,9 +2,10 @@
 
 use super::in_flight::FinishedAttempt;
 use super::ActiveRequest;
-use crate::protocol::connection::Connection;
+use crate::agent::Agent;
+use crate::protocol::connection::{Connection, Unread};
 use crate::runtime::reactor::Timer;
-use crate::server::limits::MAX_BYTES_READ_AHEAD;
+use crate::server::limits::{MAX_BYTES_READ_AHEAD, READ_AHEAD_DIVISOR};
 use futures_lite::future::poll_fn;
 use std::future::Future;
 use std::pin::pin;
@@ -16,6 +17,7 @@
     AttemptEnded(FinishedAttempt),
     RecheckDue,
     ClientLeft,
+    ReadAheadExceeded,
     DeadlinePassed,
 }
 
@@ -32,10 +34,22 @@
             .min(recheck_at.unwrap_or(self.deadline))
             .min(self.deadline);
         let mut timer = pin!(Timer::at(agent.clock.to_instant(due)));
-        let mut client_left = pin!(client_left(client));
+        let is_forwarding = self.is_forwarding;
+        let mut watch = pin!(async {
+            if is_forwarding {
+                watch_client(agent, client).await
+            } else {
+                client.peer_closed().await;
+                ClientWatchEnd::Left
+            }
+        });
         poll_fn(|cx| {
-            if client_left.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(RequestEvent::ClientLeft);
+            match watch.as_mut().poll(cx) {
+                Poll::Ready(ClientWatchEnd::Left) => return Poll::Ready(RequestEvent::ClientLeft),
+                Poll::Ready(ClientWatchEnd::ReadAheadExceeded) => {
+                    return Poll::Ready(RequestEvent::ReadAheadExceeded);
+                }
+                Poll::Pending => {}
             }
             if let Some(ended) = attempts.poll_ended(agent, cx) {
                 return Poll::Ready(RequestEvent::AttemptEnded(ended));
@@ -73,15 +87,44 @@
     }
 }
 
-/// Waits until the client closes its connection or its sending direction, which can't be
-/// distinguished. Pipelined bytes are buffered up to a limit; beyond it nothing is read, but the
-/// close is still detected.
-async fn client_left(client: &mut Connection) {
-    while client.receive_buffer.len() <= MAX_BYTES_READ_AHEAD {
-        match client.read_more().await {
-            Ok(count) if count > 0 => {}
-            _ => return,
+/// What ended the watch on a client's connection.
+enum ClientWatchEnd {
+    /// The client has closed its connection or its sending direction, which can't be distinguished.
+    Left,
+    /// The client has written more than the agent reads ahead. Whether it has closed its connection
+    /// behind that is not known.
+    ReadAheadExceeded,
+}
+
+/// Waits until the client leaves. Pipelined bytes are buffered as far as memory allows, up to a
+/// limit.
+async fn watch_client(agent: &Agent, client: &mut Connection) -> ClientWatchEnd {
+    loop {
+        if client.receive_buffer.has_space() || grow_read_ahead(agent, client) {
+            match client.read_more().await {
+                Ok(count) if count > 0 => {}
+                _ => return ClientWatchEnd::Left,
+            }
+        } else {
+            return match client.unread_or_closed().await {
+                Unread::Data => ClientWatchEnd::ReadAheadExceeded,
+                Unread::Closed => ClientWatchEnd::Left,
+            };
         }
     }
-    client.peer_closed().await;
+}
+
+/// Grows the receive buffer for further pipelined bytes. Returns false if the limit is reached or
+/// no memory is free.
+fn grow_read_ahead(agent: &Agent, client: &mut Connection) -> bool {
+    let limits = &agent.limits;
+    let length = client.receive_buffer.len() * 2;
+    let max_length = MAX_BYTES_READ_AHEAD.min(limits.max_buffered_bytes() / READ_AHEAD_DIVISOR);
+    let allowed = length <= max_length
+        && !limits.request_memory.has_waiters()
+        && limits.allows_request_bytes(client.growth_for(length));
+    if allowed {
+        client.reserve(length);
+    }
+    allowed
 }
--- a/crates/agent/src/server/request/mod.rs
+++ b/crates/agent/src/server/request/mod.rs
@@ -60,6 +60,9 @@
     /// When to ask the balancer for another decision; `None` if it did not ask for that.
     recheck_at: Option<Duration>,
     may_have_run: bool,
+    /// Whether further attempts may be sent: not once the client has written so much ahead that its
+    /// leaving can't be seen.
+    is_forwarding: bool,
 }
 
 impl ActiveRequest {
@@ -94,6 +97,7 @@
             attempts: InFlightAttempts::default(),
             recheck_at: None,
             may_have_run: false,
+            is_forwarding: true,
         };
         (request, admitted.decision)
     }
@@ -137,9 +141,20 @@
             }
             RequestEvent::AttemptEnded(ended) => {
                 self.may_have_run |= !ended.response.outcome.never_ran();
-                ControlFlow::Continue(self.report(&ended, false))
+                if self.is_forwarding {
+                    return ControlFlow::Continue(self.report(&ended, false));
+                }
+                self.close_attempt(&ended);
+                self.await_attempts_in_flight()
+            }
+            RequestEvent::RecheckDue if !self.is_forwarding => {
+                ControlFlow::Continue(Decision::Await)
             }
             RequestEvent::RecheckDue => ControlFlow::Continue(self.agent.balancer.route(self.id)),
+            RequestEvent::ReadAheadExceeded => {
+                self.stop_forwarding();
+                self.await_attempts_in_flight()
+            }
             RequestEvent::ClientLeft => {
                 self.agent.balancer.close_request(self.id);
                 ControlFlow::Break(FinalResponse::Abandoned)
@@ -153,6 +168,36 @@
         }
     }
 
+    /// Lets nothing more be sent for the request: attempts that are not fully written end here, the
+    /// others run to their end.
+    fn stop_forwarding(&mut self) {
+        let counters = &self.agent.counters;
+        counters.requests_read_ahead_exceeded.increment();
+        self.is_forwarding = false;
+        self.agent.balancer.close_request(self.id);
+        self.end_unwritten_attempts();
+    }
+
+    /// Waits for the attempts in flight, or ends the request if there is none.
+    fn await_attempts_in_flight(&self) -> ControlFlow<FinalResponse, Decision> {
+        if self.attempts.any_in_flight() {
+            ControlFlow::Continue(Decision::Await)
+        } else if self.may_have_run {
+            ControlFlow::Break(FinalResponse::Failed)
+        } else {
+            ControlFlow::Break(FinalResponse::Rejected { retry_after: None })
+        }
+    }
+
+    fn end_unwritten_attempts(&mut self) {
+        for attempt in self.attempts.not_fully_written() {
+            let ended = self.attempts.finish(&self.agent, attempt, Outcome::NotSent);
+            if let Some(ended) = ended {
+                self.report(&ended, true);
+            }
+        }
+    }
+
     /// Reports the end of an attempt to the balancer. `request_closed` says that the request
     /// already has its final response.
     fn report(&self, ended: &FinishedAttempt, request_closed: bool) -> Decision {
@@ -196,12 +241,7 @@
     /// Stops sending for the request. Attempts that are not fully written end here; the others are
     /// not cancelled but run to their end in a task that reports them to the balancer.
     fn finish(mut self) {
-        for attempt in self.attempts.not_fully_written() {
-            let ended = self.attempts.finish(&self.agent, attempt, Outcome::NotSent);
-            if let Some(ended) = ended {
-                self.report(&ended, true);
-            }
-        }
+        self.end_unwritten_attempts();
         if self.attempts.any_in_flight() {
             let agent = self.agent.clone();
             agent.executors.tasks.spawn(self.drain()).detach();
