Run an id once that comes again after its client has left

Seen by callers: a payment was in flight as its client left; sent again under the same id on a new connection, it ran a second time, at once or after the first had ended.

Cause: the id was free again as soon as the request had no client any more, though its attempt was heard out in the background. After that nothing was known of it, nor of requests whose response was written but may never have been read.

Change: a registry of its own (`open_requests.rs`) in place of the set in the balancer's handle. An id stays open until the last attempt has ended (42601 as before). The id of a keyed or non-idempotent request that may have run is remembered for 60 s, 8,192 at the most; once its client's connection has ended, it is answered as failed (XX000, counter `repeated_id`) and not sent. While its client stays, an id can be used again as before. Ids are kept as hashes.

--- a/crates/agent/src/agent/mod.rs
+++ b/crates/agent/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod executors;
 mod limits;
 mod memory_gate;
+mod open_requests;
 mod reload;
 
 pub use config_state::ConfigState;
@@ -14,6 +15,7 @@
 pub use executors::Executors;
 pub use limits::{has_room_for_huge_pages, MemoryLimitTooLow, ResourceLimits, MIN_BUFFERED_BYTES};
 pub use memory_gate::MemoryGate;
+pub use open_requests::{ClientGuard, OpenError, OpenRequest, OpenRequests};
 
 use crate::balancer_handle::BalancerHandle;
 use crate::lifecycle::phase::Lifecycle;
@@ -62,6 +64,9 @@
     pub pool: ConnectionPool,
     /// The limits on sockets and memory.
     pub limits: ResourceLimits,
+    /// The ids of open requests, and of those that must not run again. Client connections write
+    /// and read it.
+    pub open_requests: OpenRequests,
     /// The executors on which tasks are spawned.
     pub executors: Executors,
 }
@@ -104,6 +109,7 @@
             control: ControlState::new(start.discovery, start.platform),
             endpoints: EndpointDirectory::default(),
             limits: ResourceLimits::new(start.max_sockets, start.memory_limit),
+            open_requests: OpenRequests::default(),
             executors: Executors::default(),
         });
         agent.balancer.evaluate_alternative(
@@ -225,13 +231,14 @@
     pub fn retained_summary(&self) -> String {
         let [requests, endpoints, builds, keys] = self.balancer.retained_counts();
         let listed = self.endpoints.len();
+        let [open, remembered] = self.open_requests.counts();
         let clients = self.limits.connections.client_count();
         let divergences = match self.balancer.divergences() {
             Some(divergences) => format!("; watched: {divergences}"),
             None => String::new(),
         };
         let memory = self.limits.memory_summary();
-        format!("kept: clients {clients} listed {listed} requests {requests} endpoints {endpoints} builds {builds} keys {keys}; {memory}{divergences}")
+        format!("kept: clients {clients} listed {listed} requests {requests} endpoints {endpoints} builds {builds} keys {keys} open_ids {open} remembered_ids {remembered}; {memory}{divergences}")
     }
 
     /// Logs a warning if the memory limit is too low for the process.
--- a/crates/agent/src/balancer_handle.rs
+++ b/crates/agent/src/balancer_handle.rs
@@ -3,8 +3,7 @@
 
 use crate::observability::counters::Counters;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
-use std::hash::{BuildHasher, RandomState};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tulipwall::*;
@@ -19,8 +18,6 @@
     clock: Rc<Clock>,
     counters: Rc<Counters>,
     next_request_id: Cell<u64>,
-    open_ids: RefCell<HashSet<u64>>, // hashes of the ids of active requests
-    id_hasher: RandomState,
     rollout: RefCell<Option<RolloutStatus>>,
     rollout_revision: Cell<u64>, // number of changes of the rollout status so far
     shadow: RefCell<Option<ShadowEvaluator>>,
@@ -42,18 +39,6 @@
     pub decision: Decision,
 }
 
-/// Keeps a request registered under its client's id until the guard is dropped.
-pub struct OpenRequestGuard<'a> {
-    handle: &'a BalancerHandle,
-    id_hash: u64,
-}
-
-impl Drop for OpenRequestGuard<'_> {
-    fn drop(&mut self) {
-        self.handle.open_ids.borrow_mut().remove(&self.id_hash);
-    }
-}
-
 /// The result of an attempt, as it is reported to the balancer.
 pub struct AttemptResult {
     /// The index of the attempt within its request, from 0.
@@ -74,8 +59,6 @@
             clock,
             counters,
             next_request_id: Cell::default(),
-            open_ids: RefCell::default(),
-            id_hasher: RandomState::new(),
             rollout: RefCell::default(),
             rollout_revision: Cell::default(),
             shadow: RefCell::default(),
@@ -83,17 +66,6 @@
         }
     }
 
-    /// Registers a request under its client's id. Returns `None` while another request is open
-    /// under this id, as their responses could not be distinguished.
-    pub fn open_request(&self, id: &str) -> Option<OpenRequestGuard<'_>> {
-        let id_hash = self.id_hasher.hash_one(id);
-        let inserted = self.open_ids.borrow_mut().insert(id_hash);
-        inserted.then(|| OpenRequestGuard {
-            handle: self,
-            id_hash,
-        })
-    }
-
     /// Passes a new request to the balancer and returns its number and the first decision.
     pub fn on_request(&self, request: Request) -> AdmittedRequest {
         let id = self.next_request_id.get();
--- a/crates/agent/src/server/admission.rs
+++ b/crates/agent/src/server/admission.rs
@@ -1,8 +1,7 @@
 //! Admission of statements: the checks that turn a statement into a request, and the lookup of the
 //! names it uses.
 
-use crate::agent::Agent;
-use crate::balancer_handle::OpenRequestGuard;
+use crate::agent::{Agent, OpenError, OpenRequest};
 use crate::protocol::error::{quote, StatementError};
 use crate::protocol::statement::Statement;
 use crate::protocol::ProtocolError;
@@ -20,12 +19,15 @@
     pub over_pipeline_limit: bool,
 }
 
-/// The reason for which a statement does not become a request. Nothing of it has been executed.
+/// The reason for which a statement does not become a request. Nothing is executed for it.
 #[derive(Debug, thiserror::Error)]
 pub enum Refusal {
     /// Another request with the same id is still open.
     #[error(transparent)]
     RequestStillOpen(StatementError),
+    /// A request with the same id may have run before its client left, and must not run twice.
+    #[error("a request with this id may have run")]
+    MayHaveRun,
     /// Too many requests wait behind it on its connection.
     #[error("too many pipelined requests on this connection")]
     OverPipelineLimit,
@@ -84,14 +86,19 @@
     Ok(class)
 }
 
-/// Opens a request, which stays open until the returned guard is dropped.
-pub fn admit<'a>(
-    agent: &'a Agent,
+/// Opens a request of a client's connection, given its number. The request stays open until the
+/// returned value is dropped.
+pub fn admit(
+    agent: &Agent,
     received: &ReceivedStatement,
-) -> Result<OpenRequestGuard<'a>, Refusal> {
-    let Some(guard) = agent.balancer.open_request(received.statement.id()) else {
-        return Err(Refusal::RequestStillOpen(StatementError::RequestStillOpen));
-    };
+    client: u64,
+) -> Result<OpenRequest, Refusal> {
+    let id = received.statement.id();
+    let opened = agent.open_requests.open(id, client, agent.clock.now());
+    let request = opened.map_err(|error| match error {
+        OpenError::StillOpen => Refusal::RequestStillOpen(StatementError::RequestStillOpen),
+        OpenError::MayHaveRun => Refusal::MayHaveRun,
+    })?;
     if received.over_pipeline_limit {
         return Err(Refusal::OverPipelineLimit);
     }
@@ -99,5 +106,5 @@
     if agent.lifecycle.ends_before(deadline) {
         return Err(Refusal::Terminating);
     }
-    Ok(guard)
+    Ok(request)
 }
--- a/crates/agent/src/server/connection.rs
+++ b/crates/agent/src/server/connection.rs
@@ -18,6 +18,7 @@
 /// Serves a client until it disconnects, violates the protocol, exceeds a timeout, or is closed
 /// while idle because the agent needs its slot or terminates.
 pub async fn serve(agent: Rc<Agent>, client: Connection, _permit: ConnectionPermit) {
+    let _registration = agent.open_requests.register_client(client.number);
     Session::new(&agent, client).run().await;
 }
 
--- a/crates/agent/src/server/message.rs
+++ b/crates/agent/src/server/message.rs
@@ -115,14 +115,14 @@
     received: ReceivedStatement,
     reply: &mut CountedBytes,
 ) -> Step {
-    let _open_request = match admit(agent, &received) {
-        Ok(guard) => guard,
+    let open_request = match admit(agent, &received, client.number) {
+        Ok(request) => request,
         Err(refusal) => {
             write_refusal(agent, reply, &refusal);
             return Step::Reply;
         }
     };
-    let response = handle_request(agent, client, received.statement, received.received_at).await;
+    let response = handle_request(agent, client, received, open_request).await;
     let client_left = response == FinalResponse::Abandoned;
     write_final_response(agent, reply, response);
     if client_left {
--- a/crates/agent/src/server/request/mod.rs
+++ b/crates/agent/src/server/request/mod.rs
@@ -10,9 +10,9 @@
 
 use self::events::RequestEvent;
 use self::in_flight::{FinishedAttempt, InFlightAttempts};
-use super::admission::ResolvedRequest;
+use super::admission::{ReceivedStatement, ResolvedRequest};
 use super::response::FinalResponse;
-use crate::agent::Agent;
+use crate::agent::{Agent, OpenRequest};
 use crate::balancer_handle::AttemptResult;
 use crate::observability::logging::EVIDENCE;
 use crate::protocol::connection::Connection;
@@ -23,23 +23,24 @@
 use tulipwall::{Decision, Idempotency, Outcome, Request};
 use tulipwall_config::stable_hash;
 
-/// Processes a request that was completely received at `received_at`, and returns its final
-/// response.
+/// Processes a request and returns its final response. The request stays open until its last attempt
+/// has ended, which may be after its client has left.
 pub async fn handle_request(
     agent: &Rc<Agent>,
     client: &mut Connection,
-    statement: Statement,
-    received_at: Duration,
+    received: ReceivedStatement,
+    open_request: OpenRequest,
 ) -> FinalResponse {
     agent.endpoints.serving_allowed().await;
     // Resolved here, as the indices must be those of the settings in force when the balancer
     // accepts the request; they stay valid until it ends. If the settings changed during the wait
     // above and no longer allow the statement, nothing has run, and a retry receives the reason.
-    let Ok(resolved) = ResolvedRequest::resolve(&agent.service_config(), &statement) else {
+    let Ok(resolved) = ResolvedRequest::resolve(&agent.service_config(), &received.statement)
+    else {
         return FinalResponse::Rejected { retry_after: None };
     };
     let (mut request, decision) =
-        ActiveRequest::begin(agent.clone(), statement, resolved, received_at);
+        ActiveRequest::begin(agent.clone(), received, resolved, open_request);
     let response = request.run(client, decision).await;
     request.log_end(&response);
     request.finish();
@@ -52,6 +53,8 @@
     statement: Rc<Statement>,
     class: usize,
     idempotency: Idempotency,
+    /// Keeps the client's id open.
+    open_request: OpenRequest,
     received_at: Duration,
     deadline: Duration,
     /// The balancer's number for the request.
@@ -69,10 +72,12 @@
     /// Passes the request to the balancer and returns it with the first decision.
     fn begin(
         agent: Rc<Agent>,
-        statement: Statement,
+        received: ReceivedStatement,
         resolved: ResolvedRequest,
-        received_at: Duration,
+        open_request: OpenRequest,
     ) -> (ActiveRequest, Decision) {
+        let statement = received.statement;
+        let received_at = received.received_at;
         let deadline = received_at + statement.client_timeout;
         let request = Request {
             class: resolved.class,
@@ -91,6 +96,7 @@
             statement: Rc::new(statement),
             class: resolved.class,
             idempotency: resolved.idempotency,
+            open_request,
             received_at,
             deadline,
             id: admitted.id,
@@ -212,6 +218,7 @@
 
     /// Reports the end of an attempt of a request that needs no further attempts.
     fn close_attempt(&mut self, ended: &FinishedAttempt) {
+        self.may_have_run |= !ended.response.outcome.never_ran();
         if let Decision::Cancel { attempt } = self.report(ended, true) {
             self.cancel(attempt, true);
         }
@@ -245,6 +252,15 @@
         if self.attempts.any_in_flight() {
             let agent = self.agent.clone();
             agent.executors.tasks.spawn(self.drain()).detach();
+        } else {
+            self.remember_id();
+        }
+    }
+
+    /// Remembers the id of a request that may have run and must not run twice.
+    fn remember_id(&self) {
+        if self.may_have_run && self.idempotency != Idempotency::Idempotent {
+            self.open_request.remember(self.agent.clock.now());
         }
     }
 
@@ -255,5 +271,6 @@
                 self.close_attempt(&ended);
             }
         }
+        self.remember_id();
     }
 }
--- a/crates/agent/src/server/response.rs
+++ b/crates/agent/src/server/response.rs
@@ -62,6 +62,10 @@
             counters.requests_invalid.increment();
             reply.write_with(|reply| postgres::write_statement_error(reply, &error.clone().into()));
         }
+        Refusal::MayHaveRun => {
+            counters.requests_repeated_id.increment();
+            reply.write_with(postgres::write_failed);
+        }
         Refusal::OverPipelineLimit => {
             counters.requests_over_pipeline_limit.increment();
             reply.write_with(|reply| postgres::write_rejected(reply, None));
--- a/crates/agent/tests/departed_clients.rs
+++ b/crates/agent/tests/departed_clients.rs
@@ -5,6 +5,7 @@
 use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
+use tulipwall_agent::agent::{OpenError, OpenRequests};
 use tulipwall_testkit::runtime::{wait_until, TEST_TIMEOUT};
 use tulipwall_testkit::*;
 
@@ -148,11 +149,73 @@
         Some("XX000")
     );
     assert_eq!(received_ids(&cluster), ["again"]);
-    // Another id of the same client, and the same id of an idempotent class, may run.
     second.send_query_as("other", "payment", 1400);
     assert_eq!(second.read_reply().unwrap().code(), None);
 }
 
+/// The response was written, but its client left without reading it.
+#[test]
+fn runs_a_non_idempotent_id_once_that_comes_again_after_an_unread_response() {
+    let cluster = cluster(ms(10));
+    let agent = start_agent(&cluster);
+    let mut client = connect(&agent);
+    for n in 0..5 {
+        client.send_query_as(&format!("q{n}"), "payment", 1400);
+    }
+    assert!(wait_until(|| received_ids(&cluster).len() == 5));
+    sleep(ms(100));
+    drop(client);
+    sleep(ms(100));
+    let mut second = connect(&agent);
+    for n in 0..5 {
+        second.send_query_as(&format!("q{n}"), "payment", 1400);
+        assert_eq!(
+            second.read_reply().unwrap().code().as_deref(),
+            Some("XX000")
+        );
+    }
+    assert_eq!(received_ids(&cluster).len(), 5);
+}
+
+/// An id that the same client uses again while it stays has been answered to it.
+#[test]
+fn serves_an_id_again_while_its_client_stays() {
+    let cluster = cluster(ms(10));
+    let agent = start_agent(&cluster);
+    let mut client = connect(&agent);
+    for _ in 0..3 {
+        client.send_query_as("same", "payment", 1400);
+        assert_eq!(client.read_reply().unwrap().code(), None);
+    }
+    let mut idempotent = connect(&agent);
+    idempotent.send_query_as("view", "view", 1400);
+    assert_eq!(idempotent.read_reply().unwrap().code(), None);
+    drop(idempotent);
+    sleep(ms(100));
+    client.send_query_as("view", "view", 1400);
+    assert_eq!(client.read_reply().unwrap().code(), None);
+}
+
+#[test]
+fn remembers_a_bounded_number_of_ids_for_a_bounded_time() {
+    let requests = OpenRequests::default();
+    let start = Duration::from_secs(3600);
+    let client = requests.register_client(1);
+    for n in 0..20_000 {
+        let request = requests.open(&format!("i{n}"), 1, start).unwrap();
+        request.remember(start);
+    }
+    drop(client);
+    assert_eq!(requests.counts(), [0, 8192]);
+    let refused = requests.open("i19999", 2, start + Duration::from_secs(59));
+    assert_eq!(refused.err(), Some(OpenError::MayHaveRun));
+    assert!(requests.open("i0", 2, start).is_ok());
+    assert!(requests
+        .open("i19999", 2, start + Duration::from_secs(61))
+        .is_ok());
+    assert_eq!(requests.counts(), [0, 0]);
+}
+
 /// An id whose attempt never reached an endpoint is free for the client's next try.
 #[test]
 fn runs_an_id_that_comes_again_after_its_client_left_before_it_was_sent() {
