Read on after a read that was cut short, and after interrupted calls

Seen by callers: a request lay whole in the agent's socket and was not read; after 2 s its connection was closed with 08P01.

Cause: a read that did not fill the free space was taken for the last one. TCP also ends a read at an urgent mark, and a signal or the kernel may cut any read short; an edge-triggered socket then reports nothing new. `peek` and `connect` took EINTR for an error.

Change: only a read that would block marks a socket as empty, which costs one more call for a client's request. EINTR is tried again; an interrupted connect goes on in the background.

Measured: the new test sends an urgent byte within a request.

--- a/crates/agent/src/protocol/connection.rs
+++ b/crates/agent/src/protocol/connection.rs
@@ -112,7 +112,8 @@
         let connection = Connection::new(TcpStream::from(socket))?;
         match connecting {
             Ok(()) => return Ok(connection),
-            Err(rustix::io::Errno::INPROGRESS) => {}
+            // An interrupted connect goes on in the background, too.
+            Err(rustix::io::Errno::INPROGRESS | rustix::io::Errno::INTR) => {}
             Err(error) => return Err(error.into()),
         }
         let stream = connection.source.get();
@@ -129,23 +130,18 @@
     /// Reads the available bytes into the receive buffer, waiting for at least one, and returns
     /// their number; 0 at the end of the stream. Nothing is lost if the future is dropped before it
     /// is ready.
+    ///
+    /// A read that does not fill the free space says nothing about what is left: a signal or the
+    /// kernel may cut it short. Only a read that would block marks the socket as not readable.
     pub async fn read_more(&mut self) -> io::Result<usize> {
         let Connection {
             source,
             receive_buffer,
             ..
         } = self;
-        let offered_space = Cell::new(0);
-        let read = |space: &mut [u8]| {
-            offered_space.set(space.len());
-            source.get().read(space)
-        };
+        let read = |space: &mut [u8]| source.get().read(space);
         let received = source.read(|| receive_buffer.fill(read)).await;
         if let Ok(length) = received {
-            // The read did not fill the space: the socket is empty, and the next read would block.
-            if length < offered_space.get() {
-                source.clear_read_readiness();
-            }
             self.traffic.add_read(length);
         }
         if let Some(arrivals) = &mut self.arrivals {
@@ -244,14 +240,17 @@
         if !self.receive_buffer.is_empty() {
             return IdleState::DataReceived;
         }
-        match self.source.get().peek(&mut [0]) {
-            Ok(0) => IdleState::Closed,
-            Ok(_) => IdleState::DataReceived,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                self.source.clear_read_readiness();
-                IdleState::Quiet
+        loop {
+            match self.source.get().peek(&mut [0]) {
+                Ok(0) => return IdleState::Closed,
+                Ok(_) => return IdleState::DataReceived,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.source.clear_read_readiness();
+                    return IdleState::Quiet;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return IdleState::Closed,
             }
-            Err(_) => IdleState::Closed,
         }
     }
 }
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -400,6 +400,30 @@
     );
 }
 
+/// Guards against a read that was cut short being taken for an empty socket. TCP ends a read at the
+/// urgent mark, though more has arrived behind it.
+#[test]
+fn reads_on_after_a_read_that_was_cut_short() {
+    let cluster = cluster_of(&[responding_with(ResponseBehavior::Answer)]);
+    let agent = start_agent(&cluster, 1024);
+    let mut client = connect(&agent);
+    let query = pg::query("SELECT body FROM objects WHERE oid = 'a1' /* id=u1,c=view,d=15000 */");
+    let (before_mark, behind_mark) = query.split_at(20);
+    agent.set_stalled(true).unwrap();
+    client.stream.write_all(before_mark).unwrap();
+    // The urgent byte itself is not part of the stream.
+    rustix::net::send(&client.stream, b"!", rustix::net::SendFlags::OOB).unwrap();
+    client.stream.write_all(behind_mark).unwrap();
+    agent.set_stalled(false).unwrap();
+    let begun = Instant::now();
+    assert_eq!(reply_code(&mut client), None);
+    assert!(
+        begun.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
 #[test]
 fn serves_clients_that_hold_a_third_of_the_descriptors_concurrently() {
     let work = Duration::from_secs(2);
