Let other clients take turns beside one that floods its connection

Seen by callers: 16,640 answers to requests for encryption were written to one client before another client's empty query was answered, and more the faster the one reads.

Cause: a connection's task yielded only behind a query with more input in its buffer. In the startup phase it handled, wrote and read on for as long as the socket was ready, and so did the one that rejects clients beyond the places, whose time limit was never looked at meanwhile.

Change: a connection's task yields after each step, whatever it was. A client may ask for encryption twice (TLS and GSSAPI); a third request is answered 08P01 and closes the connection.

--- a/crates/agent/src/protocol/error.rs
+++ b/crates/agent/src/protocol/error.rs
@@ -39,6 +39,9 @@
         /// The lower half of the version number.
         minor: u32,
     },
+    /// A client asks for encryption again and again instead of sending its startup message.
+    #[error("more than two requests for encryption")]
+    TooManyEncryptionRequests,
     /// The declared length of a message is out of range.
     #[error("message '{}' of {length} bytes", tag.escape_ascii())]
     MessageLength {
--- a/crates/agent/src/server/connection.rs
+++ b/crates/agent/src/server/connection.rs
@@ -4,7 +4,7 @@
 use super::limits::RECEIVE_TIMEOUT;
 use super::message::handle_message;
 use super::output::{close_gracefully, write_reply};
-use super::startup::{handle_startup, Step};
+use super::startup::{Startup, Step};
 use crate::agent::Agent;
 use crate::protocol::connection::Connection;
 use crate::protocol::counted_bytes::CountedBytes;
@@ -12,6 +12,7 @@
 use crate::protocol::postgres;
 use crate::protocol::ProtocolError;
 use crate::upstream::limits::ConnectionPermit;
+use futures_lite::future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,8 +29,7 @@
     client: Connection,
     /// The bytes to write next.
     reply: CountedBytes,
-    /// Whether the startup is complete.
-    started: bool,
+    startup: Startup,
     /// When the first request, and later each message that has begun, must be complete; `None`
     /// while nothing is due.
     receive_deadline: Option<Duration>,
@@ -51,7 +51,7 @@
             agent,
             client,
             reply: CountedBytes::default(),
-            started: false,
+            startup: Startup::default(),
             receive_deadline: Some(agent.clock.now() + RECEIVE_TIMEOUT),
         }
     }
@@ -73,31 +73,30 @@
                 return close_gracefully(self.agent, self.client).await;
             }
             self.reply.clear();
+            // Lets other tasks run, however much this client writes and however fast it reads.
+            future::yield_now().await;
         }
     }
 
     async fn handle_input(&mut self) -> Result<Step, ProtocolError> {
-        if self.started {
+        if self.startup.is_complete() {
             handle_message(self.agent, &mut self.client, &mut self.reply).await
         } else {
             let client = &mut self.client;
-            self.reply.write_with(|reply| handle_startup(client, reply))
+            let startup = &mut self.startup;
+            self.reply.write_with(|reply| startup.handle(client, reply))
         }
     }
 
     fn on_step(&mut self, step: &Step) -> Flow {
         match step {
             Step::Reply => {
-                if self.started {
+                if self.startup.is_complete() {
                     self.receive_deadline = None;
                 }
                 Flow::Continue
             }
-            Step::StartupComplete => {
-                self.started = true;
-                Flow::Continue
-            }
-            Step::NeedMore => Flow::Continue,
+            Step::StartupComplete | Step::NeedMore => Flow::Continue,
             Step::Close => Flow::Close,
         }
     }
@@ -136,7 +135,7 @@
     /// Returns the length of the message that has begun to arrive; `None` if it is not known.
     fn announced_length(&self) -> Option<usize> {
         let unread = self.client.receive_buffer.unread();
-        if self.started {
+        if self.startup.is_complete() {
             postgres::announced_length(unread)
         } else {
             postgres::announced_startup_length(unread)
--- a/crates/agent/src/server/message.rs
+++ b/crates/agent/src/server/message.rs
@@ -13,7 +13,6 @@
 use crate::protocol::postgres;
 use crate::protocol::statement::Statement;
 use crate::protocol::ProtocolError;
-use futures_lite::future;
 use std::rc::Rc;
 
 /// The type byte of a simple query.
@@ -93,10 +92,6 @@
         }
     }
     reply.write_with(postgres::write_ready);
-    if !client.receive_buffer.is_empty() {
-        // Lets other tasks run, however much this client has pipelined.
-        future::yield_now().await;
-    }
     Ok(Step::Reply)
 }
 
--- a/crates/agent/src/server/overflow.rs
+++ b/crates/agent/src/server/overflow.rs
@@ -3,13 +3,13 @@
 use super::limits::SHORT_RECEIVE_TIMEOUT;
 use super::message::QUERY_TAG;
 use super::output::close_gracefully;
-use super::startup::{handle_startup, Step};
+use super::startup::{Startup, Step};
 use crate::agent::Agent;
 use crate::protocol::connection::Connection;
 use crate::protocol::postgres;
 use crate::protocol::ProtocolError;
 use crate::upstream::limits::ConnectionPermit;
-use futures_lite::FutureExt;
+use futures_lite::future::{self, FutureExt};
 use std::rc::Rc;
 
 /// Serves a client beyond the limit up to its first request, which is rejected with an error that
@@ -28,26 +28,23 @@
 /// Handles messages until one is rejected or the connection ends.
 async fn reject_first_request(client: &mut Connection) {
     let mut reply = Vec::new();
-    let mut started = false;
+    let mut startup = Startup::default();
     loop {
-        let step = if started {
+        let step = if startup.is_complete() {
             reject_message(client, &mut reply)
         } else {
-            handle_startup(client, &mut reply)
+            startup.handle(client, &mut reply)
         };
         let keep_open = match step {
             Ok(Step::NeedMore) => client.read_more().await.is_ok_and(|count| count > 0),
-            Ok(Step::StartupComplete) => {
-                started = true;
-                true
-            }
-            Ok(Step::Reply) => true,
+            Ok(Step::Reply | Step::StartupComplete) => true,
             Ok(Step::Close) | Err(_) => false,
         };
         if client.write(&reply).await.is_err() || !keep_open {
             return;
         }
         reply.clear();
+        future::yield_now().await;
     }
 }
 
--- a/crates/agent/tests/client_floods.rs
+++ b/crates/agent/tests/client_floods.rs
@@ -163,6 +163,31 @@
     reader.join().unwrap();
 }
 
+/// A client may ask for TLS and for GSSAPI, as PostgreSQL's own clients do.
+#[test]
+fn refuses_encryption_twice_and_then_closes_the_connection() {
+    let cluster = TestCluster::new(&["a"], agent_process::classes()).unwrap();
+    let configuration = cluster.configuration("n1", 0).unwrap();
+    let agent = AgentProcess::start(BINARY, configuration, &[]).unwrap();
+    drop(TestClient::connect(agent.address().unwrap()).unwrap());
+    for (requests, starts) in [(2, true), (3, false)] {
+        let mut stream = TcpStream::connect(agent.address().unwrap()).unwrap();
+        let bytes = [ENCRYPTION_REQUEST.repeat(requests), pg::startup()].concat();
+        stream.write_all(&bytes).unwrap();
+        let mut refusals = [0; 2];
+        stream.read_exact(&mut refusals).unwrap();
+        assert_eq!(&refusals, b"NN");
+        let mut client = TestClient { stream };
+        let (tag, body) = client.read_message().unwrap();
+        if starts {
+            assert_eq!(tag, b'R');
+        } else {
+            assert_eq!(tag, pg::ERROR);
+            assert_eq!(pg::error_field(&body, b'C').as_deref(), Some("08P01"));
+        }
+    }
+}
+
 #[test]
 fn serves_others_beside_a_flood_of_empty_queries() {
     assert_others_served(pg::startup(), |_| pg::query("").repeat(4096));
