--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`TestCluster`]: zones with [`Endpoint`]s, a [`Discovery`] service and a [`Platform`].
 //! - [`TestClient`]: one blocking client for single requests. [`Load`]: an open-loop load generator
 //!   with many clients.
-//! - [`RawClient`]: a client that writes chosen bytes in pieces, for crowds of them.
+//! - [`Crowd`]: hundreds of clients that press on an agent.
 //! - [`AgentProcess`]: an agent that runs as a child process, with its configuration.
 //! - [`ScriptedServer`]: a server that sends fixed bytes, for replies that no fake sends.
 //! - [`ScriptedEndpoint`]: an endpoint whose every byte is chosen by a test.
@@ -21,6 +21,7 @@
 pub mod client;
 pub mod cluster;
 pub mod connection_cutter;
+pub mod crowd;
 pub mod discovery;
 pub mod endpoint;
 mod latencies;
@@ -40,6 +41,7 @@
 pub use client::{Reply, TestClient};
 pub use cluster::TestCluster;
 pub use connection_cutter::{ConnectionCutter, CutPoint};
+pub use crowd::{Crowd, CrowdBehavior};
 pub use discovery::{ConnectionBehavior, Discovery, DiscoveryBehavior};
 pub use endpoint::{
     Endpoint, EndpointBehavior, Link, ReceivedQuery, ResponseBehavior, TransferCounts,
