--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -458,6 +458,54 @@
     );
 }
 
+/// Guards against requests that are read on a connection beyond the places and never answered: each
+/// one that arrived together gets its rejection, the last one with the end of the connection.
+#[test]
+fn rejects_each_request_that_arrives_beyond_the_places_for_clients() {
+    let cluster = cluster_of(&[EndpointBehavior {
+        work: Duration::from_secs(2),
+        ..EndpointBehavior::default()
+    }]);
+    let agent = start_agent(&cluster, 64);
+    // 22 descriptors are kept aside, and 18 of the other 42 are for endpoints.
+    let mut clients: Vec<_> = (0..24).map(|_| connect(&agent)).collect();
+    clients
+        .iter_mut()
+        .for_each(|client| client.send_query("payment", 3000));
+    thread::sleep(Duration::from_millis(100));
+    let query = |n: usize| {
+        pg::query(&format!(
+            "SELECT body FROM objects WHERE oid = 'a1' /* id=o{n},c=view,d=900 */"
+        ))
+    };
+    for count in [1, 2, 3, 20] {
+        let mut bytes = pg::startup();
+        (0..count).for_each(|n| bytes.extend(query(n)));
+        let mut stream = TcpStream::connect(agent.address().unwrap()).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        stream.write_all(&bytes).unwrap();
+        let mut client = TestClient { stream };
+        client.read_until_ready().unwrap();
+        for n in 0..count {
+            let (tag, body) = client.read_message().unwrap();
+            assert_eq!(
+                (tag, pg::error_field(&body, b'C').as_deref()),
+                (pg::ERROR, Some("53300"))
+            );
+            let severity = if n + 1 < count { "ERROR" } else { "FATAL" };
+            assert_eq!(
+                pg::error_field(&body, b'S').as_deref(),
+                Some(severity),
+                "{n} of {count}"
+            );
+            if n + 1 < count {
+                assert_eq!(client.read_message().unwrap().0, pg::READY);
+            }
+        }
+        assert!(client.read_message().is_err());
+    }
+}
+
 /// Guards against an accept queue that is too short for a burst of clients: a client that finds it
 /// full has to wait for the retransmission of its SYN a second later.
 #[test]
