Log why clients' connections end, what is refused, and when memory is short

Cause: the logs of the killed processes said nothing: counters are printed at an orderly end only, and no line named a size, a refusal or the reason for a close.

Change: at warn, once in 10 s at the most, `memory is short` with the resident size, buffered bytes and limits, where messages waited for memory or the process is over 0.85 of its limit. A log target `client` with connections, refusals and ends of requests by their numbers and ids. An accept that fails for one client (aborted, reset, EINTR, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH) goes on to the next without a delay. In the soak, drained endpoints leave the list after 3.5 s, as in the evidence.

--- a/crates/agent/src/agent/limits.rs
+++ b/crates/agent/src/agent/limits.rs
@@ -94,6 +94,11 @@
         self.process_bytes.set(process_bytes);
     }
 
+    /// Returns the memory limit of the process, in bytes.
+    pub fn memory_limit(&self) -> usize {
+        self.memory_bytes.get()
+    }
+
     /// Returns the number of buffered bytes up to which the agent reads long messages of clients.
     ///
     /// Accounts for memory outside the buffers, which would otherwise take the process beyond its
--- a/crates/agent/src/control/balancer_poll.rs
+++ b/crates/agent/src/control/balancer_poll.rs
@@ -2,10 +2,12 @@
 
 use crate::agent::Agent;
 use crate::observability::logging::log_evidence;
+use crate::observability::memory_watch::MemoryWatch;
 use futures_lite::future;
 use std::time::Duration;
 
-/// Interval between removals of stale connections and retired request classes.
+/// Interval between removals of stale connections and retired request classes, and between looks at
+/// the size of the process.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between log lines with the divergences of alternative settings.
 const DIVERGENCE_LOG_INTERVAL: Duration = Duration::from_secs(60);
@@ -13,6 +15,7 @@
 /// Polls the balancer until the program ends.
 pub async fn run(agent: &Agent) {
     let mut last_cleanup = Duration::ZERO;
+    let memory_watch = MemoryWatch::default();
     let mut last_divergence_log = agent.clock.now();
     loop {
         // Input that arrived while this agent was stalled is handled first, in its order.
@@ -30,6 +33,7 @@
         if now >= last_cleanup + CLEANUP_INTERVAL {
             agent.pool.close_stale();
             agent.drop_retired_classes();
+            memory_watch.check(agent);
             last_cleanup = now;
         }
         if now >= last_divergence_log + DIVERGENCE_LOG_INTERVAL {
--- a/crates/agent/src/lifecycle/listener.rs
+++ b/crates/agent/src/lifecycle/listener.rs
@@ -80,7 +80,9 @@
         match accepted {
             Ok(client) => start_client(agent, client, permit),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(e) if concerns_one_client(&e) => {
+                log::debug!("accept: {e}; the next client is accepted");
+            }
             Err(e) => {
                 log::warn!("accept: {e}");
                 agent.pool.evict_idle();
@@ -92,6 +94,20 @@
     }
 }
 
+/// Returns whether accepting failed for the one client that was next, or was interrupted. Linux passes
+/// on errors that are pending on the new connection.
+fn concerns_one_client(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::Interrupted
+            | io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+    )
+}
+
 /// Acquires a permit for the next client; `None` if no socket is free even for a rejection. Asks an
 /// idle client to close its connection when sockets are nearly used up.
 fn acquire_permit(agent: &Agent) -> Option<AcceptPermit> {
--- a/crates/agent/src/observability/logging.rs
+++ b/crates/agent/src/observability/logging.rs
@@ -20,6 +20,11 @@
 /// the connection by its number. Off unless enabled by `RUST_LOG` (`info,exchange=debug`).
 pub const EXCHANGE: &str = "exchange";
 
+/// Log target of the lines with which a client's connection can be followed: when it begins and why
+/// it ends, and why a request was refused, by the connection's number and the request's id. Each
+/// line has level `debug`. Off unless enabled by `RUST_LOG` (`info,client=debug`).
+pub const CLIENT: &str = "client";
+
 /// Logs a line to the target [`EVIDENCE`], preceded by the clock's current time.
 macro_rules! log_evidence {
     ($clock:expr, $($line:tt)+) => {
--- a/crates/agent/src/observability/mod.rs
+++ b/crates/agent/src/observability/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod counters;
 pub mod logging;
+pub mod memory_watch;
--- a/crates/agent/src/server/connection.rs
+++ b/crates/agent/src/server/connection.rs
@@ -6,6 +6,7 @@
 use super::output::{close_gracefully, write_reply};
 use super::startup::{Startup, Step};
 use crate::agent::Agent;
+use crate::observability::logging::CLIENT;
 use crate::protocol::connection::Connection;
 use crate::protocol::counted_bytes::CountedBytes;
 use crate::protocol::error::PostgresError;
@@ -13,13 +14,16 @@
 use crate::protocol::ProtocolError;
 use crate::upstream::limits::ConnectionPermit;
 use futures_lite::future;
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Serves a client until it disconnects, violates the protocol, exceeds a timeout, or is closed
 /// while idle because the agent needs its slot or terminates.
 pub async fn serve(agent: Rc<Agent>, client: Connection, _permit: ConnectionPermit) {
-    let _registration = agent.open_requests.register_client(client.number);
+    let number = client.number;
+    let _registration = agent.open_requests.register_client(number);
+    log::debug!(target: CLIENT, "connection {number} begins");
     Session::new(&agent, client).run().await;
 }
 
@@ -66,13 +70,15 @@
             if flow == Flow::Closed {
                 return;
             }
-            if !self.reply.is_empty() && self.write_reply().await.is_err() {
-                return;
+            if !self.reply.is_empty() {
+                if let Err(error) = self.write_reply().await {
+                    return self.log_end(&error);
+                }
             }
+            self.reply.clear();
             if flow == Flow::Close {
                 return close_gracefully(self.agent, self.client).await;
             }
-            self.reply.clear();
             // Lets other tasks run, however much this client writes and however fast it reads.
             future::yield_now().await;
         }
@@ -97,11 +103,19 @@
                 Flow::Continue
             }
             Step::StartupComplete | Step::NeedMore => Flow::Continue,
-            Step::Close => Flow::Close,
+            Step::Close => {
+                self.log_end(&"by the client's message, or as it left during a request");
+                Flow::Close
+            }
         }
     }
 
+    fn log_end(&self, reason: &dyn Display) {
+        log::debug!(target: CLIENT, "connection {} ends: {reason}", self.client.number);
+    }
+
     fn on_protocol_error(&mut self, error: &ProtocolError) -> Flow {
+        self.log_end(error);
         self.agent.counters.requests_invalid.increment();
         self.reply
             .write_with(|reply| postgres::write_fatal(reply, error));
@@ -117,6 +131,7 @@
         match read_input(self.agent, &mut self.client, length, self.receive_deadline).await {
             ReadEvent::Data => Flow::Continue,
             ReadEvent::Closed => {
+                self.log_end(&"closed between two requests by either side");
                 self.agent.counters.clients_closed.increment();
                 Flow::Closed
             }
@@ -125,6 +140,7 @@
                 Flow::Close
             }
             ReadEvent::OutOfMemory => {
+                self.log_end(&"no memory for a long message");
                 self.agent.counters.requests_without_memory.increment();
                 self.reply.write_with(postgres::write_out_of_memory);
                 Flow::Close
@@ -150,6 +166,7 @@
             "message"
         };
         let error = PostgresError::ReceiveTimeout { missing };
+        self.log_end(&error);
         self.reply
             .write_with(|reply| postgres::write_fatal(reply, &error.into()));
     }
--- a/crates/agent/src/server/message.rs
+++ b/crates/agent/src/server/message.rs
@@ -7,9 +7,10 @@
 use super::startup::Step;
 use crate::agent::Agent;
 use crate::lifecycle::phase::Phase;
+use crate::observability::logging::CLIENT;
 use crate::protocol::connection::Connection;
 use crate::protocol::counted_bytes::CountedBytes;
-use crate::protocol::error::PostgresError;
+use crate::protocol::error::{quote, PostgresError};
 use crate::protocol::postgres;
 use crate::protocol::statement::Statement;
 use crate::protocol::ProtocolError;
@@ -113,6 +114,8 @@
     let open_request = match admit(agent, &received, client.number) {
         Ok(request) => request,
         Err(refusal) => {
+            let id = quote(received.statement.id());
+            log::debug!(target: CLIENT, "connection {}: request {id} refused: {refusal}", client.number);
             write_refusal(agent, reply, &refusal);
             return Step::Reply;
         }
--- a/crates/agent/src/server/request/mod.rs
+++ b/crates/agent/src/server/request/mod.rs
@@ -14,8 +14,9 @@
 use super::response::FinalResponse;
 use crate::agent::{Agent, OpenRequest};
 use crate::balancer_handle::AttemptResult;
-use crate::observability::logging::EVIDENCE;
+use crate::observability::logging::{CLIENT, EVIDENCE};
 use crate::protocol::connection::Connection;
+use crate::protocol::error::quote;
 use crate::protocol::statement::Statement;
 use std::ops::ControlFlow;
 use std::rc::Rc;
@@ -179,6 +180,8 @@
     fn stop_forwarding(&mut self) {
         let counters = &self.agent.counters;
         counters.requests_read_ahead_exceeded.increment();
+        log::debug!(target: CLIENT, "request {}: nothing more is sent, as its client has written too much ahead",
+            quote(self.statement.id()));
         self.is_forwarding = false;
         self.agent.balancer.close_request(self.id);
         self.end_unwritten_attempts();
@@ -243,6 +246,8 @@
         let work = self.statement.estimated_work.unwrap_or_default();
         log::debug!(target: EVIDENCE, "{} request class {} {} {} us work {} us",
             clock.to_unix_ms(now), self.class, response.name(), latency.as_micros(), work.as_micros());
+        log::debug!(target: CLIENT, "request {} ends: {} after {} us and {} attempts",
+            quote(self.statement.id()), response.name(), latency.as_micros(), self.attempts.count());
     }
 
     /// Stops sending for the request. Attempts that are not fully written end here; the others are
--- a/crates/agent/tests/client_pressure.rs
+++ b/crates/agent/tests/client_pressure.rs
@@ -58,12 +58,12 @@
 }
 
 /// Lets a crowd press on an agent and checks that the agent stays within its memory limit, and that
-/// it serves another client afterwards. `bytes_of` returns what a client of the crowd writes.
+/// it serves another client afterwards. Returns the agent's log. `bytes_of` returns what a client of the crowd writes.
 fn assert_memory_limit_kept(
     behavior: EndpointBehavior,
     crowd: &Crowd,
     bytes_of: impl Fn(usize) -> Vec<u8>,
-) {
+) -> String {
     let cluster = TestCluster::new(&["a"], agent_process::classes()).unwrap();
     for n in 0..6 {
         cluster
@@ -88,6 +88,7 @@
     }));
     agent.terminate().unwrap();
     assert!(agent.wait_for_success().unwrap());
+    agent.log()
 }
 
 /// Connects a crowd at once and lets it write. Clients that the agent has closed come back.
@@ -179,13 +180,15 @@
 #[test]
 fn keeps_its_memory_limit_with_large_requests() {
     let value = "9f".repeat(60_000);
-    assert_memory_limit_kept(endpoint(800, 2), &FAST_WRITERS, |client| {
+    let log = assert_memory_limit_kept(endpoint(800, 2), &FAST_WRITERS, |client| {
         requests(3, |n| {
             pg::query(&format!(
                 "INSERT INTO objects (oid, body) VALUES ('a', '\\x{value}') RETURNING body /* id={client}-{n},c=payment,d=1400 */"
             ))
         })
     });
+    // Who looks at the log of a process that was killed sees that its memory was short.
+    assert!(log.contains("memory is short"), "{log}");
 }
 
 #[test]
--- a/crates/agent/tests/soak/events.rs
+++ b/crates/agent/tests/soak/events.rs
@@ -24,6 +24,8 @@
 const CROWD_INTERVAL: Duration = Duration::from_millis(15);
 /// SIGKILL comes this long after SIGTERM: the longest deadline, taken as 3 s at least, and 0.7 s.
 const KILL_AFTER_TERM: Duration = Duration::from_millis(3700);
+/// Drained endpoints leave the list after this time.
+const REMOVAL_DELAY: Duration = Duration::from_millis(3500);
 /// How long the agent stays down between two processes.
 const DOWN_TIME: Duration = Duration::from_secs(1);
 
@@ -57,6 +59,8 @@
     next_endpoint: usize,
     /// Endpoints beyond the lasting ones that are in service.
     extra_endpoints: Vec<String>,
+    /// When drained endpoints leave the list.
+    removals: Vec<(Instant, Vec<String>)>,
     expectations: Expectations,
     lag: LagMonitor,
     peak_kib: u64,
@@ -97,6 +101,7 @@
             memory_mb,
             next_endpoint: 0,
             extra_endpoints: Vec::new(),
+            removals: Vec::new(),
             expectations: Expectations::default(),
             lag: LagMonitor::start(),
             peak_kib: 0,
@@ -119,6 +124,7 @@
         let begun = Instant::now();
         while begun.elapsed() < RUN_TIME {
             sleep(ms(self.rng.gen_range(100..900)));
+            self.remove_drained_endpoints();
             self.next_event();
             self.check_process();
         }
@@ -232,8 +238,25 @@
         self.cluster.discovery.update(entries);
         self.log.push(format!("{ids:?} drain"));
         let now = Instant::now();
-        for id in ids {
-            self.expectations.drained_at.insert(id, now);
+        for id in &ids {
+            self.expectations.drained_at.insert(id.clone(), now);
+        }
+        self.removals.push((now + REMOVAL_DELAY, ids));
+    }
+
+    /// Removes from the list what has drained for [`REMOVAL_DELAY`], and ends it.
+    fn remove_drained_endpoints(&mut self) {
+        let now = Instant::now();
+        let (due, later) = std::mem::take(&mut self.removals)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.removals = later;
+        let due: Vec<(Instant, Vec<String>)> = due;
+        for id in due.into_iter().flat_map(|(_, ids)| ids) {
+            self.cluster
+                .discovery
+                .update_entry(&id, |entry| entry.state = "terminated".into());
+            self.cluster.endpoint(&id).unwrap().crash();
         }
     }
 
