Hold no endpoint responsible for descriptors that the system does not give

Seen by callers: with fewer descriptors than `limits.sockets` says, every request of 20 clients was answered with an error, though idle endpoints and room for some connections were there.

Cause: an error of `socket` or `connect` that is this machine's own (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN) counted as a failed connect, for which the balancer ejects the endpoint, one after the other.

Change: such an attempt counts as not sent, as at the agent's own limit, an idle connection is closed for it, and the counter `connections_denied` has it.

Measured: the new test takes descriptors away from a running agent by prlimit.

--- a/crates/agent/src/observability/counters.rs
+++ b/crates/agent/src/observability/counters.rs
@@ -81,6 +81,8 @@
     pub clients_closed_for_memory: Counter,
     /// Attempts that were sent on a new connection.
     pub connections_opened: Counter,
+    /// Connections to endpoints for which the system had no descriptor, port or memory.
+    pub connections_denied: Counter,
     /// Attempts that were sent on a pooled connection.
     pub connections_reused: Counter,
     /// Pooled connections that the endpoint had closed.
@@ -158,6 +160,8 @@
         write!(f, "repeated_id {}; ", c.requests_repeated_id)?;
 
         write!(f, "memory: awaited {} ", c.responses_awaiting_memory)?;
-        write!(f, "clients_closed {}", c.clients_closed_for_memory)
+        write!(f, "clients_closed {}; ", c.clients_closed_for_memory)?;
+
+        write!(f, "system: connections_denied {}", c.connections_denied)
     }
 }
--- a/crates/agent/src/upstream/connect.rs
+++ b/crates/agent/src/upstream/connect.rs
@@ -8,6 +8,7 @@
 use crate::upstream::pool::PooledConnection;
 use crate::upstream::response::{read_response, ResponseError};
 use futures_lite::FutureExt;
+use rustix::io::Errno;
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
@@ -45,6 +46,7 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             ConnectError::LimitReached => Outcome::NotSent,
+            ConnectError::Io(error) if is_local(error) => Outcome::NotSent,
             ConnectError::Rejected => Outcome::Rejected,
             ConnectError::TimedOut | ConnectError::Io(_) | ConnectError::InvalidHandshake => {
                 Outcome::ConnectFailed
@@ -53,6 +55,22 @@
     }
 }
 
+/// Returns whether this machine lacks what a connection needs, which says nothing about the endpoint.
+fn is_local(error: &io::Error) -> bool {
+    const LOCAL_ERRORS: [Errno; 6] = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::ADDRNOTAVAIL,
+        Errno::AGAIN,
+    ];
+    let errno = error.raw_os_error();
+    LOCAL_ERRORS
+        .iter()
+        .any(|local| errno == Some(local.raw_os_error()))
+}
+
 /// Opens a connection and completes its startup, so that it is ready for its first query.
 pub async fn open_connection(
     agent: &Agent,
@@ -60,9 +78,16 @@
 ) -> Result<PooledConnection, ConnectError> {
     let permit = acquire_permit(agent)?;
     let cost = HandshakeCostGuard::new(agent, target);
-    let connection = perform_handshake(agent, target, &cost)
+    let opened = perform_handshake(agent, target, &cost)
         .or(connect_timeout(agent))
-        .await?;
+        .await;
+    if let Err(ConnectError::Io(error)) = &opened {
+        if is_local(error) {
+            agent.counters.connections_denied.increment();
+            agent.pool.evict_idle();
+        }
+    }
+    let connection = opened?;
     let connection = PooledConnection::new(connection, permit, agent.clock.now());
     cost.charge_opened();
     Ok(connection)
--- a/crates/agent/tests/sockets.rs
+++ b/crates/agent/tests/sockets.rs
@@ -506,6 +506,38 @@
     }
 }
 
+/// Guards against a lack of descriptors on this machine being held against endpoints, which would all
+/// be ejected.
+#[test]
+fn ejects_no_endpoint_for_descriptors_that_the_system_does_not_give() {
+    let cluster = cluster_of(&[slow_endpoint(), slow_endpoint()]);
+    let mut configuration = cluster.configuration("n1", 0).unwrap();
+    configuration["limits"]["sockets"] = 1024.into();
+    // No connections are opened ahead.
+    configuration["settings"]["prices"]["handshake"] = 0.08.into();
+    let agent = AgentProcess::start(BINARY, configuration, &[]).unwrap();
+    let mut clients: Vec<_> = (0..20).map(|_| connect(&agent)).collect();
+    let open = std::fs::read_dir(format!("/proc/{}/fd", agent.id()))
+        .unwrap()
+        .count() as u64;
+    agent.limit_descriptors(open + 4).unwrap();
+    for _ in 0..3 {
+        clients
+            .iter_mut()
+            .for_each(|client| client.send_query("view", 1400));
+        let codes: Vec<_> = clients.iter_mut().map(reply_code).collect();
+        assert!(codes.iter().any(Option::is_none), "{codes:?}");
+    }
+    agent.signal(rustix::process::Signal::USR1).unwrap();
+    assert!(runtime::wait_until(|| agent
+        .log()
+        .contains("connections_denied")));
+    let log = agent.log();
+    assert!(!log.contains("connections_denied 0"), "{log}");
+    assert!(!log.contains("ejected: endpoint"), "{log}");
+    assert!(log.contains("connect_failed 0"), "{log}");
+}
+
 /// Guards against an accept queue that is too short for a burst of clients: a client that finds it
 /// full has to wait for the retransmission of its SYN a second later.
 #[test]
--- a/crates/testkit/src/agent_process/mod.rs
+++ b/crates/testkit/src/agent_process/mod.rs
@@ -5,7 +5,7 @@
 pub use configuration::{classes, client_config, configuration, settings, RequestClass};
 
 use crate::runtime;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde_json::Value;
 use std::ffi::OsString;
 use std::fs::File;
@@ -88,9 +88,22 @@
 
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        Ok(kill_process(self.pid()?, signal)?)
+    }
+
+    /// Limits the number of descriptors that the system gives to the process from now on.
+    pub fn limit_descriptors(&self, count: u64) -> io::Result<()> {
+        let limit = Rlimit {
+            current: Some(count),
+            maximum: Some(count),
+        };
+        prlimit(Some(self.pid()?), Resource::Nofile, limit)?;
+        Ok(())
+    }
+
+    fn pid(&self) -> io::Result<Pid> {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        let pid = pid.ok_or(io::ErrorKind::InvalidInput)?;
-        Ok(kill_process(pid, signal)?)
+        pid.ok_or_else(|| io::ErrorKind::InvalidInput.into())
     }
 
     /// Requests a shutdown with SIGTERM.
