--- a/review/second/src/client.rs
+++ b/review/second/src/client.rs
@@ -36,15 +36,27 @@
         self.stream.write_all(&pg::query(text))
     }
 
+    /// Writes statements back to back.
+    pub fn send_all(&mut self, texts: &[&str]) -> io::Result<()> {
+        let bytes: Vec<u8> = texts.iter().flat_map(|text| pg::query(text)).collect();
+        self.stream.write_all(&bytes)
+    }
+
     /// Reads an answer up to ready-for-query, or to the end of the connection.
     pub fn read_answer(&mut self) -> io::Result<Answer> {
+        Ok(self.read_answer_before_end()?.unwrap_or(Answer::Closed))
+    }
+
+    /// Reads an answer; `None` if the connection ended in order before one. After a fatal error no ready-for-query
+    /// has to come.
+    pub fn read_answer_before_end(&mut self) -> io::Result<Option<Answer>> {
         let mut answer = Answer::Other;
         let mut row = None;
         loop {
             let Some((tag, body)) = pg::read_message(&mut self.stream)? else {
                 return Ok(match answer {
-                    Answer::Error(code) => Answer::Error(code),
-                    _ => Answer::Closed,
+                    Answer::Error(code) => Some(Answer::Error(code)),
+                    _ => None,
                 });
             };
             match tag {
@@ -55,7 +67,7 @@
                     }
                 }
                 b'E' => answer = Answer::Error(pg::error_code(&body)),
-                b'Z' => return Ok(answer),
+                b'Z' => return Ok(Some(answer)),
                 _ => {}
             }
         }
--- a/review/second/src/deployment.rs
+++ b/review/second/src/deployment.rs
@@ -16,6 +16,8 @@
     platform: SocketAddr,
     listen: SocketAddr,
     settings: &'static str,
+    /// The agents' limit on descriptors.
+    pub sockets: u32,
 }
 
 impl Deployment {
@@ -42,6 +44,7 @@
             platform: platform::start()?,
             listen: free_address()?,
             settings,
+            sockets: 512,
         })
     }
 
@@ -66,7 +69,7 @@
                 platform: self.platform,
                 known,
                 settings: self.settings.to_owned(),
-                sockets: 512,
+                sockets: self.sockets,
             },
         )
     }
--- a/review/second/src/lib.rs
+++ b/review/second/src/lib.rs
@@ -14,6 +14,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::ops::{Deref, DerefMut};
+use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::Mutex;
 use std::thread;
@@ -46,7 +47,7 @@
     /// Starts a process.
     pub fn start(command: &mut Command) -> std::io::Result<Process> {
         let child = command.spawn()?;
-        STARTED.lock().unwrap().push(child.id());
+        change_started(|started| started.push(child.id()));
         Ok(Process(child))
     }
 }
@@ -69,7 +70,18 @@
     fn drop(&mut self) {
         let _ = self.0.kill();
         let _ = self.0.wait();
-        STARTED.lock().unwrap().retain(|id| *id != self.0.id());
+        change_started(|started| started.retain(|id| *id != self.0.id()));
+    }
+}
+
+/// Changes the list of running processes, and writes it to the file `pids` in `WORK`, by which the script ends them if
+/// it is ended itself.
+fn change_started(change: impl FnOnce(&mut Vec<u32>)) {
+    let mut started = STARTED.lock().unwrap();
+    change(&mut started);
+    if let Ok(folder) = std::env::var("WORK") {
+        let lines: String = started.iter().map(|id| format!("{id}\n")).collect();
+        let _ = std::fs::write(PathBuf::from(folder).join("pids"), lines);
     }
 }
 
