End the list's lease after SIGHUP to an address that sends no list

Seen by callers: after SIGHUP to a discovery that never answered, an agent went on by the previous address's list without an end where lists are pushed, and where they are polled for as long as calls did not reach discovery. A reload from polled to pushed lists even made a list valid for good.

Cause: `ListLease` had no end where lists are pushed; where they are polled each call that failed to reach discovery renewed the lease, although that discovery had never told the agent anything. What it holds counts as announced 4 s after SIGHUP (pushed) or 6 s after discovery had it (polled).

Change: the lease ends 4 s or 6 s after SIGHUP unless a list arrives from the new address; calls that fail do not renew it. A change between pushed and polled lists counts as one of the address. The time runs from when the signal was seen, not from when the configuration was read, also for a SIGHUP that comes while another is handled.

--- a/crates/agent/src/agent/control_state.rs
+++ b/crates/agent/src/agent/control_state.rs
@@ -39,6 +39,7 @@
 pub struct PeerAddress<T> {
     address: Cell<T>,
     changes: Cell<u64>,
+    change_requested_at: Cell<Duration>,
     changed: Event,
 }
 
@@ -47,6 +48,7 @@
         PeerAddress {
             address: Cell::new(address),
             changes: Cell::default(),
+            change_requested_at: Cell::default(),
             changed: Event::new(),
         }
     }
@@ -62,9 +64,11 @@
         self.address.replace(address) != address
     }
 
-    /// Asks the task of this service to restart its connection.
-    pub fn announce_change(&self) {
+    /// Asks the task of this service to restart its connection, after a reload that was requested
+    /// at `requested_at`.
+    pub fn announce_change(&self, requested_at: Duration) {
         self.changes.set(self.changes.get() + 1);
+        self.change_requested_at.set(requested_at);
         self.changed.notify(usize::MAX);
     }
 
@@ -73,6 +77,12 @@
         self.changes.get()
     }
 
+    /// Returns when the reload was requested that made the last change, on the agent's clock; zero
+    /// before the first change.
+    pub fn change_requested_at(&self) -> Duration {
+        self.change_requested_at.get()
+    }
+
     /// Waits until more than `seen` changes were announced.
     pub async fn changed_since(&self, seen: u64) {
         while self.changes.get() == seen {
--- a/crates/agent/src/agent/reload.rs
+++ b/crates/agent/src/agent/reload.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tulipwall::{AlternativeSettings, CrossZonePolicy, IndexMapping};
 use tulipwall_config::{ConfigDiagnostic, Installation, NameCounts, ServiceConfig};
 use tulipwall_zones::ZoneConfig;
@@ -50,8 +51,9 @@
     /// Applies a new configuration, all of it or nothing. Changes that need a restart are logged
     /// and not applied. If the address of discovery or of the platform changed, its task
     /// reconnects. The endpoint list and the rollout status in the file are ignored, as they are no
-    /// newer than what these services report.
-    pub fn reload(&self, start: StartupConfig) {
+    /// newer than what these services report. The times within which the agent must comply with
+    /// what the services hold at new addresses run from `requested_at`.
+    pub fn reload(&self, start: StartupConfig, requested_at: Duration) {
         let before = self.service_config();
         let applied = self.apply_decision_config(DecisionConfig {
             agent_name: &start.name,
@@ -83,28 +85,33 @@
         self.limits.resize(start.max_sockets, start.memory_limit);
         process_memory::allow_huge_pages(has_room_for_huge_pages(start.memory_limit));
         self.report_memory_limit();
-        self.update_discovery_address(discovery, &before);
-        self.update_platform_address(start.platform);
+        self.update_discovery_address(discovery, &before, requested_at);
+        self.update_platform_address(start.platform, requested_at);
     }
 
     /// Restarts the discovery watch if the address or the polling settings changed.
-    fn update_discovery_address(&self, address: SocketAddr, before: &ServiceConfig) {
+    fn update_discovery_address(
+        &self,
+        address: SocketAddr,
+        before: &ServiceConfig,
+        requested_at: Duration,
+    ) {
         let poll_settings =
             |c: &ServiceConfig| (c.settings.shared_discovery, c.settings.max_poll_interval);
         let address_changed = self.control.discovery.replace(address);
         if address_changed || poll_settings(before) != poll_settings(&self.service_config()) {
             self.lifecycle
                 .on_address_change(ControlService::Discovery, false);
-            self.control.discovery.announce_change();
+            self.control.discovery.announce_change(requested_at);
         }
     }
 
     /// Restarts the platform session if the address changed, and ends it if there is none.
-    fn update_platform_address(&self, address: Option<SocketAddr>) {
+    fn update_platform_address(&self, address: Option<SocketAddr>, requested_at: Duration) {
         if self.control.platform.replace(address) {
             self.lifecycle
                 .on_address_change(ControlService::Platform, address.is_none());
-            self.control.platform.announce_change();
+            self.control.platform.announce_change(requested_at);
         }
     }
 
--- a/crates/agent/src/control/discovery/mod.rs
+++ b/crates/agent/src/control/discovery/mod.rs
@@ -33,7 +33,7 @@
         if address.changes() != seen_changes {
             // A change of the address ends the old watch, but does not count as a failure.
             seen_changes = address.changes();
-            watch.reload_settings(agent.clock.now());
+            watch.reload_settings(address.change_requested_at());
             next_call = watch.on_address_change(agent.clock.now());
             if next_call.is_some() {
                 continue;
@@ -106,7 +106,8 @@
     /// Returns when the new address is first called; `None` if it is called at once.
     fn on_address_change(&mut self, now: Duration) -> Option<Duration> {
         self.awaiting_contact = true;
-        self.lease.on_address_change(now);
+        let told_at = self.agent.control.discovery.change_requested_at();
+        self.lease.on_address_change(told_at);
         self.publish_lease();
         let delay = self.timer.on_address_change();
         (!delay.is_zero()).then_some(now + delay)
--- a/crates/agent/tests/outdated_lists.rs
+++ b/crates/agent/tests/outdated_lists.rs
@@ -15,6 +15,11 @@
 /// A change counts as announced to an agent at the latest this long after discovery had it and could
 /// be reached.
 const MAX_ANNOUNCEMENT_DELAY: Duration = ms(6000);
+/// What discovery holds at a new address counts as announced this long after SIGHUP, where lists are
+/// pushed.
+const MAX_MOVE_DELAY: Duration = ms(4000);
+/// Time after the announcement of a drain until nothing may be sent to its endpoint.
+const GRACE: Duration = ms(250);
 /// Nine in ten starts have to be ready within this time.
 const MAX_START_TIME: Duration = ms(10_000);
 /// An agent without a list has to serve within this time after discovery's return.
@@ -237,6 +242,107 @@
     });
 }
 
+/// Starts another discovery service with the same list under the same version.
+fn discovery_like(other: &Discovery) -> Discovery {
+    let discovery = Discovery::start(1).unwrap();
+    let version = |d: &Discovery| d.full_list(0)["version"].as_u64();
+    while version(&discovery) < version(other) {
+        discovery.update(other.entries());
+    }
+    discovery
+}
+
+/// Moves the agent to another discovery service by SIGHUP. Returns when the signal was sent.
+fn move_discovery(agent: &AgentProcess, next: &Discovery) -> Instant {
+    let mut configuration = agent.configuration.clone();
+    configuration["discovery"] = next.address(0).to_string().into();
+    let moved = Instant::now();
+    agent.reload(&configuration.to_string()).unwrap();
+    moved
+}
+
+/// Guards against an agent that goes on by the list of the previous address although none arrived
+/// from the new one, which announces a drain that the previous one did not.
+#[test]
+fn stops_sending_when_no_list_arrives_from_a_new_address_in_time() {
+    let faults = [Fault::Silent, Fault::Closes, Fault::Refuses, Fault::Garbled];
+    let cases = faults.map(|fault| LIST_MODES.map(|mode| (fault, mode)));
+    run_all(cases.as_flattened(), |(fault, mode)| {
+        let cluster = cluster();
+        let next = discovery_like(&cluster.discovery);
+        announce_drain(&next);
+        next.set_behavior(fault.behavior());
+        let agent = start(configuration(&cluster, mode));
+        let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
+        assert!(wait_until(|| cluster.discovery.requests() > 0));
+        send_until(&mut client, Instant::now() + ms(1200));
+        let moved = move_discovery(&agent, &next);
+        // Where lists are polled, the last response came 1.2 s before the move and something.
+        let (bound, serves_for) = match mode {
+            ListMode::Pushed => (moved + MAX_MOVE_DELAY, MAX_MOVE_DELAY - ms(300)),
+            ListMode::Polled => (moved + MAX_ANNOUNCEMENT_DELAY, ms(4000)),
+        };
+        let bound = bound + GRACE;
+        let replies = send_until(&mut client, moved + serves_for);
+        assert_eq!(replies.rejected, 0, "{replies:?}");
+        send_until(&mut client, bound + ms(1500));
+        let last_sent = received_by(&cluster, "s-0").into_iter().max().unwrap();
+        assert!(
+            last_sent < bound,
+            "sent {:?} after the move",
+            last_sent - moved
+        );
+        let replies = send_until(&mut client, bound + ms(4000));
+        assert!(replies.served == 0 && replies.rejected > 3, "{replies:?}");
+        let sent_to_any = cluster.received_queries().into_values().flatten();
+        assert!(sent_to_any.map(|query| query.at).max().unwrap() < bound);
+
+        let returned = Instant::now();
+        next.set_behavior(DiscoveryBehavior::Normal);
+        let served = first_served(&agent, returned + ms(5000)).unwrap() - returned;
+        // Where calls are paid for, agents call again by their share of them.
+        let max_return_time = match mode {
+            ListMode::Pushed => MAX_RETURN_TIME,
+            ListMode::Polled => ms(3000),
+        };
+        assert!(
+            served < max_return_time,
+            "served {served:?} after the return"
+        );
+        let sent_later = received_by(&cluster, "s-0").into_iter().max().unwrap();
+        assert_eq!(last_sent, sent_later);
+    });
+}
+
+/// Guards against a list that counts as valid without an end after the settings changed from polled
+/// to pushed lists, or the other way round, while discovery sends none.
+#[test]
+fn stops_sending_when_no_list_arrives_after_a_change_of_the_list_mode() {
+    run_all(&LIST_MODES, |mode| {
+        let cluster = cluster();
+        let agent = start(configuration(&cluster, mode));
+        let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
+        assert!(wait_until(|| cluster.discovery.requests() > 0));
+        send_until(&mut client, Instant::now() + ms(1200));
+        cluster
+            .discovery
+            .set_behavior(DiscoveryBehavior::Unresponsive);
+        let (next_mode, max_delay) = match mode {
+            ListMode::Pushed => (ListMode::Polled, MAX_ANNOUNCEMENT_DELAY),
+            ListMode::Polled => (ListMode::Pushed, MAX_MOVE_DELAY),
+        };
+        let mut settings = configuration(&cluster, next_mode);
+        settings["listen"] = agent.configuration["listen"].clone();
+        let changed = Instant::now();
+        agent.reload(&settings.to_string()).unwrap();
+        let replies = send_until(&mut client, changed + max_delay - ms(300));
+        assert!(replies.served > 100 && replies.rejected == 0, "{replies:?}");
+        send_until(&mut client, changed + max_delay + ms(1000));
+        let replies = send_until(&mut client, changed + max_delay + ms(4000));
+        assert!(replies.served == 0 && replies.rejected > 3, "{replies:?}");
+    });
+}
+
 /// Where lists are polled, a call that gets no answer is given up after 3 s, the next one follows up
 /// to 2.6 s later, and each extends the lease to 6 s after its beginning. So the lease of an agent
 /// whose calls get no answer may lapse for this long between two of them.
--- a/crates/discovery/src/list_lease.rs
+++ b/crates/discovery/src/list_lease.rs
@@ -11,12 +11,17 @@
 /// An agent must comply with a change from this long after the wait of a call ended, if that is
 /// later than the time given by [`CHANGE_GRACE`].
 const WAIT_GRACE: Duration = Duration::from_millis(2000);
+/// Where lists are pushed, an agent must comply with the list at a new address from this long after
+/// it was told of the address.
+const PUSHED_ADDRESS_CHANGE_GRACE: Duration = Duration::from_millis(4000);
 
 /// Why the lease of the list ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseEndReason {
     /// No list was received since the process started.
     NoListSinceStart,
+    /// No list was received since the address of discovery, or the way to get lists, changed.
+    NoListSinceAddressChange,
     /// Discovery refused the last call that could have brought a list.
     Refused,
     /// The last response that could have brought a list could not be read.
@@ -29,6 +34,9 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(match self {
             LeaseEndReason::NoListSinceStart => "no list was received since the start",
+            LeaseEndReason::NoListSinceAddressChange => {
+                "no list was received since its address changed"
+            }
             LeaseEndReason::Refused => "it refuses calls",
             LeaseEndReason::Malformed => "its responses cannot be read",
             LeaseEndReason::NoResponse => "it does not respond",
@@ -55,9 +63,16 @@
 /// new one must comply with them from its start. So the lease is expired until discovery answers
 /// with a list, however calls fail until then.
 ///
+/// # Address changes
+///
+/// What discovery holds at a new address may differ from the list that the agent has, so the lease
+/// ends [`PUSHED_ADDRESS_CHANGE_GRACE`] or, where lists are polled, [`CHANGE_GRACE`] after the agent
+/// was told of the address, however calls fail until then. A change between pushed and polled lists
+/// counts as one of the address.
+///
 /// # Outages
 ///
-/// Once a list was received, the lease outlasts an outage: a discovery that cannot be reached, or
+/// Once a list was received from the current address, the lease outlasts an outage: a discovery that cannot be reached, or
 /// that does not answer at all, announces nothing.
 ///
 /// - Where lists are pushed, the lease has no end while discovery is unreachable.
@@ -86,7 +101,8 @@
     is_polled: bool,
     /// When the lease ends; `None` if it has no end.
     end: Option<LeaseEnd>,
-    /// Whether the lease outlasts an outage of discovery: a list was received.
+    /// Whether the lease outlasts an outage of discovery: a list was received from the current
+    /// address.
     outlasts_outage: bool,
     /// When the current watch, or the call that is meant to begin one, was started.
     watch_began: Duration,
@@ -110,15 +126,11 @@
         }
     }
 
-    /// Applies reloaded settings. If lists were pushed before and are polled now, the lease ends in
-    /// 6 s, when the agent must comply with the changes that it missed.
+    /// Applies settings that were reloaded at `now`.
     pub fn reload(&mut self, settings: &Settings, now: Duration) {
         let was_polled = std::mem::replace(&mut self.is_polled, settings.shared_discovery);
-        if self.is_polled && !was_polled {
-            self.end_by(now + CHANGE_GRACE, LeaseEndReason::NoResponse);
-        }
-        if !self.is_polled && was_polled && self.outlasts_outage {
-            self.end = None;
+        if self.is_polled != was_polled {
+            self.on_address_change(now);
         }
     }
 
@@ -150,12 +162,16 @@
         self.watch_was_answered = true;
     }
 
-    /// Records that the address of discovery changed, which ends the watch and may shorten the
-    /// lease.
-    pub fn on_address_change(&mut self, now: Duration) {
-        if self.is_polled {
-            self.end_by(now + CHANGE_GRACE, LeaseEndReason::NoResponse);
-        }
+    /// Records that the agent was told at `told_at` of a new address of discovery, which ends the
+    /// watch and may shorten the lease.
+    pub fn on_address_change(&mut self, told_at: Duration) {
+        let grace = if self.is_polled {
+            CHANGE_GRACE
+        } else {
+            PUSHED_ADDRESS_CHANGE_GRACE
+        };
+        self.end_by(told_at + grace, LeaseEndReason::NoListSinceAddressChange);
+        self.outlasts_outage = false;
         self.watch_was_answered = false;
     }
 
