End the list's lease when discovery answers without a list

Seen by callers: a running agent whose discovery refused its calls, or sent what cannot be read, went on by its list for as long as that lasted where lists are pushed; where they are polled, calls that failed to connect after the refusals made a lease that was ending valid again. A drain of that time was not obeyed.

Cause: `ListLease` had no end where lists are pushed, whatever happened to calls. A change counts as announced at the latest 6 s after discovery had it and could be reached, however calls are refused or given up.

Change: a refused or unreadable call fixes the end of the lease until a list arrives: where lists are pushed, 6 s after the list was last known to be complete. A list with some unreadable entries still counts as a list (`WatchEnd::PartlyMalformed`): the others are applied.

--- a/crates/agent/src/control/discovery/call.rs
+++ b/crates/agent/src/control/discovery/call.rs
@@ -44,9 +44,8 @@
             CallError::Io(_) | CallError::TruncatedResponse | CallError::ClosedAfterResponse => {
                 WatchEnd::Disconnected
             }
-            CallError::Http(_) | CallError::List(_) | CallError::UnreadableEntry(_) => {
-                WatchEnd::Malformed
-            }
+            CallError::Http(_) | CallError::List(_) => WatchEnd::Malformed,
+            CallError::UnreadableEntry(_) => WatchEnd::PartlyMalformed,
             CallError::Status(_) => WatchEnd::Refused,
             CallError::TimedOut => WatchEnd::TimedOut,
         }
--- a/crates/agent/tests/outdated_lists.rs
+++ b/crates/agent/tests/outdated_lists.rs
@@ -343,6 +343,55 @@
     });
 }
 
+/// Guards against an agent that goes on by its list while discovery answers, but without the list,
+/// and against an outage after that which makes the agent trust its list again.
+#[test]
+fn stops_sending_when_discovery_answers_without_a_list_and_then_goes_down() {
+    let cases = [Fault::Refuses, Fault::Garbled].map(|fault| LIST_MODES.map(|mode| (fault, mode)));
+    run_all(cases.as_flattened(), |(fault, mode)| {
+        let cluster = cluster();
+        let agent = start(configuration(&cluster, mode));
+        let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
+        assert!(wait_until(|| cluster.discovery.requests() > 0));
+        send_until(&mut client, Instant::now() + ms(1200));
+        let begun = Instant::now();
+        cluster.discovery.set_behavior(fault.behavior());
+        // Open watches are closed by then, so they do not bring the drain.
+        sleep(ms(50));
+        announce_drain(&cluster.discovery);
+        let replies = send_until(&mut client, begun + ms(4500));
+        assert!(replies.served > 100 && replies.rejected == 0, "{replies:?}");
+        cluster
+            .discovery
+            .set_behavior(DiscoveryBehavior::ClosesConnections);
+        send_until(&mut client, begun + MAX_ANNOUNCEMENT_DELAY + ms(1500));
+        let bound = begun + MAX_ANNOUNCEMENT_DELAY + GRACE;
+        let last_sent = received_by(&cluster, "s-0").into_iter().max().unwrap();
+        assert!(
+            last_sent < bound,
+            "sent {:?} after the drain",
+            last_sent - begun
+        );
+        let replies = send_until(&mut client, begun + MAX_ANNOUNCEMENT_DELAY + ms(4000));
+        assert!(replies.served == 0 && replies.rejected > 3, "{replies:?}");
+
+        let returned = Instant::now();
+        cluster.discovery.set_behavior(DiscoveryBehavior::Normal);
+        let served = first_served(&agent, returned + ms(5000)).unwrap() - returned;
+        // Where calls are paid for, agents call again by their share of them.
+        let max_return_time = match mode {
+            ListMode::Pushed => MAX_RETURN_TIME,
+            ListMode::Polled => ms(3000),
+        };
+        assert!(
+            served < max_return_time,
+            "served {served:?} after the return"
+        );
+        let sent_later = received_by(&cluster, "s-0").into_iter().max().unwrap();
+        assert_eq!(last_sent, sent_later);
+    });
+}
+
 /// Where lists are polled, a call that gets no answer is given up after 3 s, the next one follows up
 /// to 2.6 s later, and each extends the lease to 6 s after its beginning. So the lease of an agent
 /// whose calls get no answer may lapse for this long between two of them.
--- a/crates/discovery/src/list_lease.rs
+++ b/crates/discovery/src/list_lease.rs
@@ -79,6 +79,13 @@
 /// - Where they are polled, a call that finds discovery unreachable extends the lease to
 ///   [`CHANGE_GRACE`] after that call.
 ///
+/// # Responses without a list
+///
+/// A discovery that refuses a call, or whose response cannot be read, is reachable, so changes that
+/// it has count as announced within [`CHANGE_GRACE`]. From then on failing calls do not renew the
+/// lease, also those that do not reach discovery. Where lists are pushed, the lease ends
+/// [`CHANGE_GRACE`] after the list was last known to be complete.
+///
 /// # Refusals where lists are polled
 ///
 /// Let N be the number of agents, B the number of watches that discovery can begin per second, and
@@ -102,8 +109,11 @@
     /// When the lease ends; `None` if it has no end.
     end: Option<LeaseEnd>,
     /// Whether the lease outlasts an outage of discovery: a list was received from the current
-    /// address.
+    /// address, and discovery was not reached without receiving one since.
     outlasts_outage: bool,
+    /// When the list was last known to be complete: at the last response, or when a watch ended that
+    /// had not fallen silent.
+    complete_until: Duration,
     /// When the current watch, or the call that is meant to begin one, was started.
     watch_began: Duration,
     /// Whether the current watch has received a response.
@@ -121,6 +131,7 @@
                 reason: LeaseEndReason::NoListSinceStart,
             }),
             outlasts_outage: false,
+            complete_until: now,
             watch_began: now,
             watch_was_answered: false,
         }
@@ -159,6 +170,7 @@
             reason: LeaseEndReason::NoResponse,
         });
         self.outlasts_outage = true;
+        self.complete_until = now;
         self.watch_was_answered = true;
     }
 
@@ -178,38 +190,50 @@
     /// Updates the lease after the watch, or the call that was meant to begin it, failed.
     pub fn on_watch_end(&mut self, now: Duration, end: WatchEnd) {
         let was_answered = std::mem::take(&mut self.watch_was_answered);
-        if !self.is_polled || !self.outlasts_outage {
+        if !self.outlasts_outage {
             return;
         }
-        if was_answered {
-            self.on_answered_watch_end(now, end);
-        } else {
-            self.on_first_call_end(end);
+        // It is not known when a silent discovery stopped responding. The wait of the call limits
+        // how long ago that may be, and the lease already accounts for it.
+        if was_answered && end != WatchEnd::TimedOut {
+            self.on_watch_closed(now);
+        }
+        match end {
+            WatchEnd::Refused => self.on_reached_without_list(LeaseEndReason::Refused),
+            WatchEnd::Malformed => self.on_reached_without_list(LeaseEndReason::Malformed),
+            WatchEnd::TimedOut | WatchEnd::Disconnected if !was_answered => self.on_unreachable(),
+            WatchEnd::TimedOut | WatchEnd::Disconnected | WatchEnd::PartlyMalformed => {}
         }
     }
 
-    /// Updates the lease where lists are polled, after a watch failed that had received a response.
-    fn on_answered_watch_end(&mut self, now: Duration, end: WatchEnd) {
-        // It is not known when a silent discovery stopped responding. The wait of the call limits
-        // how long ago that may be, and the lease already accounts for it.
-        if end != WatchEnd::TimedOut {
+    /// Updates the lease after a watch ended that had brought all changes until then.
+    fn on_watch_closed(&mut self, now: Duration) {
+        self.complete_until = now;
+        if self.is_polled {
             self.end = Some(LeaseEnd {
                 at: now + CHANGE_GRACE,
-                reason: reason(end),
+                reason: LeaseEndReason::NoResponse,
             });
         }
     }
 
-    /// Updates the lease where lists are polled, after a call failed that was meant to begin a
-    /// watch.
-    fn on_first_call_end(&mut self, end: WatchEnd) {
-        let Some(current) = &mut self.end else {
-            return;
-        };
-        if matches!(end, WatchEnd::TimedOut | WatchEnd::Disconnected) {
-            current.at = current.at.max(self.watch_began + CHANGE_GRACE);
+    /// Updates the lease after a call reached discovery but brought no list.
+    fn on_reached_without_list(&mut self, reason: LeaseEndReason) {
+        self.outlasts_outage = false;
+        if !self.is_polled {
+            self.end_by(self.complete_until + CHANGE_GRACE, reason);
+        }
+        if let Some(end) = &mut self.end {
+            end.reason = reason;
+        }
+    }
+
+    /// Renews the lease after a call that was meant to begin a watch did not reach discovery.
+    fn on_unreachable(&mut self) {
+        let renewed_until = self.watch_began + CHANGE_GRACE;
+        if let Some(end) = &mut self.end {
+            end.at = end.at.max(renewed_until);
         }
-        current.reason = reason(end);
     }
 
     /// Ends the lease at `at` unless it ends earlier.
@@ -219,12 +243,3 @@
         }
     }
 }
-
-/// Why a lease ends after a watch that ended like this.
-fn reason(end: WatchEnd) -> LeaseEndReason {
-    match end {
-        WatchEnd::TimedOut | WatchEnd::Disconnected => LeaseEndReason::NoResponse,
-        WatchEnd::Refused => LeaseEndReason::Refused,
-        WatchEnd::Malformed => LeaseEndReason::Malformed,
-    }
-}
--- a/crates/discovery/src/watch_timer.rs
+++ b/crates/discovery/src/watch_timer.rs
@@ -84,6 +84,9 @@
     Refused,
     /// The response could not be read.
     Malformed,
+    /// Some entries of the response could not be read. The others were applied, and the endpoints of
+    /// unreadable entries are no longer used.
+    PartlyMalformed,
 }
 
 /// The kinds of first call of a watch. Where calls are free, both run in parallel; otherwise only
@@ -222,7 +225,7 @@
     /// Returns the delay between a failed call and the next one, where calls are free.
     pub fn retry_delay(&self, end: WatchEnd) -> Duration {
         match end {
-            WatchEnd::Malformed => MALFORMED_RETRY_DELAY,
+            WatchEnd::Malformed | WatchEnd::PartlyMalformed => MALFORMED_RETRY_DELAY,
             WatchEnd::TimedOut | WatchEnd::Disconnected | WatchEnd::Refused => RETRY_DELAY,
         }
     }
@@ -238,7 +241,7 @@
         let is_unreachable = matches!(end, WatchEnd::TimedOut | WatchEnd::Disconnected);
         match (was_answered, end) {
             (true, WatchEnd::TimedOut) => Some(Duration::ZERO),
-            (true, WatchEnd::Malformed) => Some(RETRY_DELAY),
+            (true, WatchEnd::Malformed | WatchEnd::PartlyMalformed) => Some(RETRY_DELAY),
             _ if self.timing.is_pushed => Some(self.retry_delay(end)),
             _ if is_unreachable && !self.was_ever_answered => Some(self.unreachable_retry_delay()),
             _ => None,
