Tell operators in log and counters why nothing is sent for lack of a list

Cause: the line on an expired list came only with a failed call after the end of the lease, up to 2 s late, named the last call's error instead of the reason, and was absent at a start before the first call had failed. No counter told rejections for lack of a list from those under overload.

Counters: `lists: .. expired`, `refused: .. no_list`, and `list: valid` or `list: expired for ..: reason` in the line that SIGUSR1 prints.

--- a/crates/agent/src/agent/mod.rs
+++ b/crates/agent/src/agent/mod.rs
@@ -274,7 +274,8 @@
             None => String::new(),
         };
         let memory = self.limits.memory_summary();
-        format!("kept: clients {clients} listed {listed} requests {requests} endpoints {endpoints} builds {builds} keys {keys} open_ids {open} remembered_ids {remembered}; {memory}{divergences}")
+        let list = self.list_lease.summary(self.clock.now());
+        format!("{list}; kept: clients {clients} listed {listed} requests {requests} endpoints {endpoints} builds {builds} keys {keys} open_ids {open} remembered_ids {remembered}; {memory}{divergences}")
     }
 
     /// Logs a warning if the memory limit is too low for the process.
--- a/crates/agent/src/agent/published_lease.rs
+++ b/crates/agent/src/agent/published_lease.rs
@@ -42,6 +42,17 @@
         self.end.get().filter(|end| end.at <= now)
     }
 
+    /// Describes whether requests may be sent by the list, for the lines of counters.
+    pub fn summary(&self, now: Duration) -> String {
+        match self.expired(now) {
+            Some(end) => {
+                let expired = now.saturating_sub(end.at);
+                format!("list: expired for {expired:.1?}: {}", end.reason)
+            }
+            None => "list: valid".to_owned(),
+        }
+    }
+
     /// Waits until the end of the lease is replaced by another.
     pub async fn changed(&self) {
         self.changed.listen().await;
--- a/crates/agent/src/control/discovery/mod.rs
+++ b/crates/agent/src/control/discovery/mod.rs
@@ -2,6 +2,7 @@
 //! module keeps the watch open and reopens it at the times that [`WatchTimer`] gives.
 
 mod call;
+pub mod lease_log;
 pub mod list_reader;
 
 use crate::agent::Agent;
@@ -65,8 +66,6 @@
     /// The kinds of failure since `unavailable_since`. Each kind is logged once, as a broken
     /// connection could otherwise hide a list that cannot be parsed.
     logged_ends: Vec<WatchEnd>,
-    /// Whether the expiration of the list's lease was logged.
-    expiration_logged: bool,
 }
 
 impl Watch<'_> {
@@ -79,7 +78,6 @@
             awaiting_contact: false,
             unavailable_since: None,
             logged_ends: Vec::new(),
-            expiration_logged: false,
         };
         watch.publish_lease();
         watch
@@ -124,7 +122,6 @@
         self.log_end(error, now);
         self.lease.on_watch_end(now, end);
         self.publish_lease();
-        self.log_expiration(error, now);
         let next_call = self.timer.on_watch_end(end).map(|delay| now + delay);
         match next_call {
             Some(_) => self.agent.counters.list_failures.increment(),
@@ -149,17 +146,6 @@
         }
     }
 
-    fn log_expiration(&mut self, error: &CallError, now: Duration) {
-        let expired = self.lease.valid_until().is_some_and(|until| now >= until);
-        if expired && !self.expiration_logged {
-            self.expiration_logged = true;
-            log::warn!(
-                "discovery: {error}; the endpoint list has expired, \
-                 no requests are sent until discovery responds"
-            );
-        }
-    }
-
     /// Watches until a call fails and returns its error.
     async fn run(&mut self) -> CallError {
         match self.watch().await {
@@ -254,7 +240,6 @@
             return Err(CallError::UnreadableEntry(error));
         }
         self.timer.on_response();
-        self.expiration_logged = false;
         if let Some(since) = self.unavailable_since.take() {
             let unavailable = agent.clock.now().saturating_sub(since);
             log::info!(unavailable_ms = unavailable.as_millis() as u64;
--- a/crates/agent/src/lifecycle/run.rs
+++ b/crates/agent/src/lifecycle/run.rs
@@ -153,6 +153,10 @@
     let discovery_watch = async move { discovery::run(&handle).await };
     executors.urgent.spawn(discovery_watch).detach();
 
+    let handle = agent.clone();
+    let lease_log = async move { discovery::lease_log::run(&handle).await };
+    executors.tasks.spawn(lease_log).detach();
+
     let handle = agent.clone();
     let platform_session = async move { platform::run(&handle).await };
     executors.tasks.spawn(platform_session).detach();
--- a/crates/agent/src/observability/counters.rs
+++ b/crates/agent/src/observability/counters.rs
@@ -75,6 +75,8 @@
     /// Requests that were refused as an earlier one with their id may have run after its client had
     /// left.
     pub requests_repeated_id: Counter,
+    /// Requests that were rejected as no valid endpoint list was known, with nothing sent for them.
+    pub requests_without_list: Counter,
     /// Responses of endpoints that had to wait for memory.
     pub responses_awaiting_memory: Counter,
     /// Clients that were disconnected as they held memory that others waited for.
@@ -101,6 +103,8 @@
     pub list_failures: Counter,
     /// Calls to the discovery service that timed out.
     pub list_timeouts: Counter,
+    /// Times during which no valid endpoint list was known, so that no requests were sent.
+    pub list_expirations: Counter,
     /// Reports of the rollout status that were received.
     pub rollout_updates: Counter,
     /// Votes that were sent to the rollout platform.
@@ -147,7 +151,8 @@
 
         write!(f, "lists: received {} ", c.lists_received)?;
         write!(f, "failed {} ", c.list_failures)?;
-        write!(f, "timed_out {}; ", c.list_timeouts)?;
+        write!(f, "timed_out {} ", c.list_timeouts)?;
+        write!(f, "expired {}; ", c.list_expirations)?;
 
         write!(f, "platform: rollout_updates {} ", c.rollout_updates)?;
         write!(f, "votes {} ", c.votes_sent)?;
@@ -157,7 +162,8 @@
 
         write!(f, "refused: no_memory {} ", c.requests_without_memory)?;
         write!(f, "read_ahead {} ", c.requests_read_ahead_exceeded)?;
-        write!(f, "repeated_id {}; ", c.requests_repeated_id)?;
+        write!(f, "repeated_id {} ", c.requests_repeated_id)?;
+        write!(f, "no_list {}; ", c.requests_without_list)?;
 
         write!(f, "memory: awaited {} ", c.responses_awaiting_memory)?;
         write!(f, "clients_closed {}; ", c.clients_closed_for_memory)?;
--- a/crates/agent/src/server/request/mod.rs
+++ b/crates/agent/src/server/request/mod.rs
@@ -123,7 +123,10 @@
                     self.recheck_at = recheck_at.or(self.recheck_at);
                 }
                 Decision::Defer { until } => self.recheck_at = Some(until),
-                Decision::Reject { retry_after } => return FinalResponse::Rejected { retry_after },
+                Decision::Reject { retry_after } => {
+                    self.count_rejection();
+                    return FinalResponse::Rejected { retry_after };
+                }
                 Decision::Fail => return FinalResponse::Failed,
                 Decision::Cancel { attempt } => {
                     decision = self.cancel(attempt, false);
@@ -239,6 +242,15 @@
         }
     }
 
+    /// Counts a rejection if the reason is that no valid endpoint list is known.
+    fn count_rejection(&self) {
+        let now = self.agent.clock.now();
+        let list_expired = self.agent.list_lease.expired(now).is_some();
+        if list_expired && self.attempts.count() == 0 {
+            self.agent.counters.requests_without_list.increment();
+        }
+    }
+
     fn log_end(&self, response: &FinalResponse) {
         let clock = &self.agent.clock;
         let now = clock.now();
--- a/crates/agent/tests/outdated_lists.rs
+++ b/crates/agent/tests/outdated_lists.rs
@@ -2,6 +2,7 @@
 //! them, requests are rejected early meanwhile, and a running agent whose list is complete goes on
 //! serving while discovery is down. Checked where lists are pushed and where they are polled.
 
+use rustix::process::Signal;
 use serde_json::Value;
 use std::io::Write;
 use std::net::TcpStream;
@@ -183,6 +184,40 @@
     }
 }
 
+/// Checks that the log and the counters tell an operator why nothing is sent.
+fn assert_reason_is_reported(agent: &AgentProcess, reason: &str) {
+    let line = format!(
+        "discovery: {reason}; the endpoint list has expired, \
+         no requests are sent until discovery responds"
+    );
+    assert_eq!(agent.log().matches(&line).count(), 1, "{}", agent.log());
+    let counters = counters(agent);
+    assert!(counters.contains(" expired 1; "), "{counters}");
+    let expired = counters.split("list: expired for ").nth(1).unwrap_or("");
+    assert!(expired.contains(reason), "{counters}");
+    let rejected = counters.split(" no_list ").nth(1).unwrap_or("");
+    let rejected = rejected.split(';').next().and_then(|n| n.parse().ok());
+    assert!(rejected.is_some_and(|n: usize| n > 0), "{counters}");
+}
+
+/// Checks that the log and the counters tell that requests are sent again.
+fn assert_end_is_reported(agent: &AgentProcess) {
+    assert!(agent.log().contains("the endpoint list is valid again"));
+    let counters = counters(agent);
+    assert!(counters.contains("; list: valid; "), "{counters}");
+}
+
+/// Requests the line of counters and returns it.
+fn counters(agent: &AgentProcess) -> String {
+    let lines = || agent.log().matches("clients: taken").count();
+    let before = lines();
+    agent.signal(Signal::USR1).unwrap();
+    assert!(wait_until(|| lines() > before));
+    let log = agent.log();
+    let line = log.lines().rfind(|line| line.contains("clients: taken"));
+    line.unwrap_or_default().to_owned()
+}
+
 /// Guards against a new process that sends by the configured list, which may be old, while discovery
 /// keeps the current one from it.
 #[test]
@@ -208,6 +243,7 @@
             ready.join().unwrap()
         });
         assert!(ready < MAX_START_TIME, "ready after {ready:?}");
+        assert_reason_is_reported(&agent, "no list was received since the start");
         assert!(cluster.received_queries().values().all(Vec::is_empty));
 
         let returned = Instant::now();
@@ -220,6 +256,7 @@
         assert!(served < bound, "served {served:?} after discovery's return");
         let replies = send_until(&mut client, Instant::now() + ms(300));
         assert!(replies.served > 10 && replies.rejected == 0, "{replies:?}");
+        assert_end_is_reported(&agent);
         assert!(received_by(&cluster, "s-0").is_empty());
     });
 }
@@ -294,6 +331,7 @@
         );
         let replies = send_until(&mut client, bound + ms(4000));
         assert!(replies.served == 0 && replies.rejected > 3, "{replies:?}");
+        assert_reason_is_reported(&agent, "no list was received since its address changed");
         let sent_to_any = cluster.received_queries().into_values().flatten();
         assert!(sent_to_any.map(|query| query.at).max().unwrap() < bound);
 
@@ -374,6 +412,11 @@
         );
         let replies = send_until(&mut client, begun + MAX_ANNOUNCEMENT_DELAY + ms(4000));
         assert!(replies.served == 0 && replies.rejected > 3, "{replies:?}");
+        let reason = match fault {
+            Fault::Refuses => "it refuses calls",
+            _ => "its responses cannot be read",
+        };
+        assert_reason_is_reported(&agent, reason);
 
         let returned = Instant::now();
         cluster.discovery.set_behavior(DiscoveryBehavior::Normal);
--- a/crates/discovery/src/list_lease.rs
+++ b/crates/discovery/src/list_lease.rs
@@ -183,6 +183,11 @@
             PUSHED_ADDRESS_CHANGE_GRACE
         };
         self.end_by(told_at + grace, LeaseEndReason::NoListSinceAddressChange);
+        if let Some(end) = &mut self.end {
+            if end.reason != LeaseEndReason::NoListSinceStart {
+                end.reason = LeaseEndReason::NoListSinceAddressChange;
+            }
+        }
         self.outlasts_outage = false;
         self.watch_was_answered = false;
     }
