Request the whole list wherever discovery's versions have gone back

Seen by callers: a discovery that numbered its versions anew, at a start or when it restarted, answered the changes since the version that the agent knew with none, and the agent took its list for complete: it sent to an endpoint that drained, without an end.

Cause: `Watch::read_list` asked for the whole list in that case only after SIGHUP to a new address.

Change: it asks wherever changes come under a lower version than the known one, also where the connection closes after the response. Cost: one whole list each time that versions go back.

Measured: outdated_lists.rs `requests_the_whole_list_when_versions_have_gone_back` failed before in 4 of 4 cases (start and running, pushed and polled) and passes now.

--- a/crates/agent/src/control/discovery/mod.rs
+++ b/crates/agent/src/control/discovery/mod.rs
@@ -61,6 +61,9 @@
     lease: ListLease,
     /// Whether discovery has a new address and was not reached there yet.
     awaiting_contact: bool,
+    /// Whether the changes since the known version are not enough, so that the whole list is
+    /// requested.
+    needs_whole_list: bool,
     /// Since when discovery has been unavailable; `None` while it responds.
     unavailable_since: Option<Duration>,
     /// The kinds of failure since `unavailable_since`. Each kind is logged once, as a broken
@@ -76,6 +79,7 @@
             timer: WatchTimer::new(settings),
             lease: ListLease::new(settings, agent.clock.now()),
             awaiting_contact: false,
+            needs_whole_list: false,
             unavailable_since: None,
             logged_ends: Vec::new(),
         };
@@ -200,24 +204,28 @@
 
     /// The version from which a watch requests changes; `None` to request the whole list.
     fn watch_start_version(&self) -> Option<u64> {
-        let may_request_changes = !self.awaiting_contact || !self.timer.calls_are_free();
+        let is_free_at_new_address = self.awaiting_contact && self.timer.calls_are_free();
+        let may_request_changes = !self.needs_whole_list && !is_free_at_new_address;
         let endpoints = &self.agent.endpoints;
         endpoints.usable_version().filter(|_| may_request_changes)
     }
 
     /// Parses the list of the response that was received. Requests the whole list instead if
-    /// discovery at a new address turns out to be behind the known version.
+    /// discovery turns out to be behind the known version: it counts versions anew, so its changes
+    /// since that version leave out what the agent missed.
     async fn read_list(&mut self, watch: &mut EstablishedWatch) -> Result<ListResponse, CallError> {
         let agent = self.agent;
         let list = list_reader::parse(std::mem::take(&mut watch.response.body)).await?;
         let known_version = self.watch_start_version();
         let version_went_back =
             !list.complete && known_version.is_some_and(|version| list.version < version);
-        let requests_whole_list =
-            self.awaiting_contact && version_went_back && !watch.response.closes_connection;
-        if !requests_whole_list {
+        if !version_went_back {
             return Ok(list);
         }
+        self.needs_whole_list = true;
+        if watch.response.closes_connection {
+            return Err(CallError::ClosedAfterResponse);
+        }
         let timeout = self.timer.first_wait() + self.timer.first_call_timeout(FirstCall::Patient);
         let whole_list = call(agent, &mut watch.connection, list_response::LIST_PATH);
         watch.response = with_timeout(agent, timeout, whole_list).await?;
@@ -232,6 +240,7 @@
     ) -> Result<Duration, CallError> {
         let agent = self.agent;
         let first_error = list.first_error.clone();
+        self.needs_whole_list = false;
         agent.update_endpoints(list);
         let wait = self.timer.next_wait();
         self.lease.on_response(agent.clock.now(), wait);
--- a/crates/agent/tests/outdated_lists.rs
+++ b/crates/agent/tests/outdated_lists.rs
@@ -173,6 +173,8 @@
     Garbled,
 }
 
+const FAULTS: [Fault; 4] = [Fault::Silent, Fault::Closes, Fault::Refuses, Fault::Garbled];
+
 impl Fault {
     fn behavior(self) -> DiscoveryBehavior {
         match self {
@@ -222,8 +224,7 @@
 /// keeps the current one from it.
 #[test]
 fn a_start_sends_nothing_before_a_list_arrives_and_serves_soon_after() {
-    let faults = [Fault::Silent, Fault::Closes, Fault::Refuses, Fault::Garbled];
-    let cases = faults.map(|fault| LIST_MODES.map(|mode| (fault, mode)));
+    let cases = FAULTS.map(|fault| LIST_MODES.map(|mode| (fault, mode)));
     run_all(cases.as_flattened(), |(fault, mode)| {
         let cluster = cluster();
         let configuration = configuration(&cluster, mode);
@@ -250,8 +251,8 @@
         cluster.discovery.set_behavior(DiscoveryBehavior::Normal);
         let served = first_served(&agent, returned + ms(5000)).unwrap() - returned;
         // Where calls are paid for, an agent that was refused calls again by its share of them.
-        let is_spread =
-            mode == ListMode::Polled && matches!(fault, Fault::Refuses | Fault::Garbled);
+        let is_reached = !matches!(fault, Fault::Silent | Fault::Closes);
+        let is_spread = mode == ListMode::Polled && is_reached;
         let bound = if is_spread { ms(3000) } else { MAX_RETURN_TIME };
         assert!(served < bound, "served {served:?} after discovery's return");
         let replies = send_until(&mut client, Instant::now() + ms(300));
@@ -302,8 +303,7 @@
 /// from the new one, which announces a drain that the previous one did not.
 #[test]
 fn stops_sending_when_no_list_arrives_from_a_new_address_in_time() {
-    let faults = [Fault::Silent, Fault::Closes, Fault::Refuses, Fault::Garbled];
-    let cases = faults.map(|fault| LIST_MODES.map(|mode| (fault, mode)));
+    let cases = FAULTS.map(|fault| LIST_MODES.map(|mode| (fault, mode)));
     run_all(cases.as_flattened(), |(fault, mode)| {
         let cluster = cluster();
         let next = discovery_like(&cluster.discovery);
@@ -385,7 +385,8 @@
 /// and against an outage after that which makes the agent trust its list again.
 #[test]
 fn stops_sending_when_discovery_answers_without_a_list_and_then_goes_down() {
-    let cases = [Fault::Refuses, Fault::Garbled].map(|fault| LIST_MODES.map(|mode| (fault, mode)));
+    let faults = [Fault::Refuses, Fault::Garbled];
+    let cases = faults.map(|fault| LIST_MODES.map(|mode| (fault, mode)));
     run_all(cases.as_flattened(), |(fault, mode)| {
         let cluster = cluster();
         let agent = start(configuration(&cluster, mode));
@@ -435,6 +436,36 @@
     });
 }
 
+/// Guards against a list that counts as received although discovery numbers its versions anew: the
+/// changes since the version that the agent knows leave out all that it missed. Covers a start, and a
+/// discovery that restarts under a running agent.
+#[test]
+fn requests_the_whole_list_when_versions_have_gone_back() {
+    let cases = [true, false].map(|at_start| LIST_MODES.map(|mode| (at_start, mode)));
+    run_all(cases.as_flattened(), |(at_start, mode)| {
+        let cluster = cluster();
+        (0..50).for_each(|_| cluster.discovery.update([]));
+        let configuration = configuration(&cluster, mode);
+        let drain = |entry: &mut Entry| entry.state = "terminating".into();
+        if at_start {
+            cluster.discovery.restart_versions("s-0", drain);
+        }
+        let agent = start(configuration);
+        let mut client = connect_early(&agent);
+        assert!(first_served(&agent, Instant::now() + ms(5000)).is_some());
+        if !at_start {
+            cluster.discovery.restart_versions("s-0", drain);
+        }
+        send_until(&mut client, Instant::now() + ms(3000));
+        assert_eq!(cluster.discovery.full_list_requests(), 1);
+        let begun = Instant::now();
+        let replies = send_until(&mut client, begun + ms(500));
+        assert!(replies.served > 20 && replies.rejected == 0, "{replies:?}");
+        let last = received_by(&cluster, "s-0").into_iter().max();
+        assert!(last.is_none_or(|last| !at_start && last < begun));
+    });
+}
+
 /// Where lists are polled, a call that gets no answer is given up after 3 s, the next one follows up
 /// to 2.6 s later, and each extends the lease to 6 s after its beginning. So the lease of an agent
 /// whose calls get no answer may lapse for this long between two of them.
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -139,6 +139,18 @@
         }
     }
 
+    /// Applies `change` to the entry with this id, numbers versions anew and closes all open
+    /// connections, as a service that restarts without its counts.
+    pub fn restart_versions(&self, id: &str, change: impl FnOnce(&mut Entry)) {
+        self.connections.end();
+        let mut state = self.shared.state();
+        if let Some(mut entry) = state.registry.get(id).cloned() {
+            change(&mut entry);
+            state.registry.update([entry]);
+        }
+        state.registry.restart_versions();
+    }
+
     /// Returns all entries, terminated ones included, ordered by id.
     pub fn entries(&self) -> Vec<Entry> {
         self.shared.state().registry.entries().cloned().collect()
--- a/crates/testkit/src/registry.rs
+++ b/crates/testkit/src/registry.rs
@@ -50,6 +50,13 @@
         }
     }
 
+    /// Numbers versions anew: all entries count as changed in the second version.
+    pub fn restart_versions(&mut self) {
+        let entries: Vec<Entry> = self.entries().cloned().collect();
+        *self = Registry::default();
+        self.update(entries);
+    }
+
     /// Returns the entry with this id; `None` if there is none.
     pub fn get(&self, id: &str) -> Option<&Entry> {
         self.entries.get(id).map(|(_, e)| e)
