Request the whole list after a change that names no endpoint

Seen by callers: among changes to the list, an entry whose id could not be read was passed over, and the rest counted as the list: the agent sent on to the endpoint that the entry had drained, at a start, after SIGHUP and while running.

Cause: `on_list` renewed the lease after any response with a readable version. Endpoints of unreadable entries are drained, but only where the id is readable.

In a whole list such an entry does no harm, as endpoints that it does not name are gone.

--- a/crates/agent/src/control/discovery/call.rs
+++ b/crates/agent/src/control/discovery/call.rs
@@ -27,6 +27,8 @@
     List(#[from] ReadError),
     #[error("list: {0}")]
     UnreadableEntry(EntryError),
+    #[error("changes without an id: {0}")]
+    UnidentifiedEntry(EntryError),
     #[error("status {0}")]
     Status(u16),
     #[error("the connection ended within a response")]
@@ -44,7 +46,9 @@
             CallError::Io(_) | CallError::TruncatedResponse | CallError::ClosedAfterResponse => {
                 WatchEnd::Disconnected
             }
-            CallError::Http(_) | CallError::List(_) => WatchEnd::Malformed,
+            CallError::Http(_) | CallError::List(_) | CallError::UnidentifiedEntry(_) => {
+                WatchEnd::Malformed
+            }
             CallError::UnreadableEntry(_) => WatchEnd::PartlyMalformed,
             CallError::Status(_) => WatchEnd::Refused,
             CallError::TimedOut => WatchEnd::TimedOut,
--- a/crates/agent/src/control/discovery/mod.rs
+++ b/crates/agent/src/control/discovery/mod.rs
@@ -240,8 +240,11 @@
     ) -> Result<Duration, CallError> {
         let agent = self.agent;
         let first_error = list.first_error.clone();
-        self.needs_whole_list = false;
+        self.needs_whole_list = list.may_lack_change();
         agent.update_endpoints(list);
+        if let Some(error) = first_error.clone().filter(|_| self.needs_whole_list) {
+            return Err(CallError::UnidentifiedEntry(error));
+        }
         let wait = self.timer.next_wait();
         self.lease.on_response(agent.clock.now(), wait);
         self.publish_lease();
--- a/crates/agent/tests/outdated_lists.rs
+++ b/crates/agent/tests/outdated_lists.rs
@@ -171,9 +171,17 @@
     Closes,
     Refuses,
     Garbled,
+    /// Sends a change that does not tell to which endpoint it belongs.
+    Unidentified,
 }
 
-const FAULTS: [Fault; 4] = [Fault::Silent, Fault::Closes, Fault::Refuses, Fault::Garbled];
+const FAULTS: [Fault; 5] = [
+    Fault::Silent,
+    Fault::Closes,
+    Fault::Refuses,
+    Fault::Garbled,
+    Fault::Unidentified,
+];
 
 impl Fault {
     fn behavior(self) -> DiscoveryBehavior {
@@ -181,6 +189,9 @@
             Fault::Silent => DiscoveryBehavior::Unresponsive,
             Fault::Closes => DiscoveryBehavior::ClosesConnections,
             Fault::Refuses => DiscoveryBehavior::Sends(SERVICE_UNAVAILABLE.into()),
+            Fault::Unidentified => DiscoveryBehavior::Sends(ScriptedServer::http_response(
+                r#"{"version":99,"full":false,"servers":[{"id":null,"state":"terminating"}]}"#,
+            )),
             Fault::Garbled => DiscoveryBehavior::Sends(ScriptedServer::http_response("{\"ver")),
         }
     }
@@ -385,7 +396,7 @@
 /// and against an outage after that which makes the agent trust its list again.
 #[test]
 fn stops_sending_when_discovery_answers_without_a_list_and_then_goes_down() {
-    let faults = [Fault::Refuses, Fault::Garbled];
+    let faults = [Fault::Refuses, Fault::Garbled, Fault::Unidentified];
     let cases = faults.map(|fault| LIST_MODES.map(|mode| (fault, mode)));
     run_all(cases.as_flattened(), |(fault, mode)| {
         let cluster = cluster();
--- a/crates/discovery/src/list_response.rs
+++ b/crates/discovery/src/list_response.rs
@@ -81,9 +81,17 @@
     pub first_error: Option<EntryError>,
     /// The ids of the entries that could not be read, where the id itself was readable.
     pub unreadable_ids: Vec<String>,
+    /// Whether there was an entry whose id could not be read.
+    pub has_unidentified_entry: bool,
 }
 
 impl ListResponse {
+    /// Whether the response may hold a change that cannot be applied, as it is not known which
+    /// endpoint it is about. A complete list never does: endpoints that it does not name are gone.
+    pub fn may_lack_change(&self) -> bool {
+        self.has_unidentified_entry && !self.complete
+    }
+
     /// Parses the body of a response.
     pub fn parse(body: &[u8]) -> Result<ListResponse, ListResponseError> {
         if let Some(response) = ListResponse::parse_exact(body) {
@@ -106,6 +114,7 @@
             endpoints: document.into_records()?,
             first_error: None,
             unreadable_ids: Vec::new(),
+            has_unidentified_entry: false,
         })
     }
 
@@ -123,6 +132,7 @@
             endpoints: entries.endpoints,
             first_error: entries.first_error,
             unreadable_ids: entries.unreadable_ids,
+            has_unidentified_entry: entries.has_unidentified_entry,
         })
     }
 }
@@ -135,6 +145,7 @@
     contradictory_ids: BTreeSet<String>,
     first_error: Option<EntryError>,
     unreadable_ids: Vec<String>,
+    has_unidentified_entry: bool,
 }
 
 impl Entries {
@@ -143,6 +154,7 @@
             Ok(endpoint) => self.add_endpoint(endpoint),
             Err(error) => {
                 let id = value.get("id").and_then(Value::as_str);
+                self.has_unidentified_entry |= id.is_none();
                 self.unreadable_ids.extend(id.map(str::to_owned));
                 self.first_error.get_or_insert(error.into());
             }
--- a/crates/discovery/tests/list_work.rs
+++ b/crates/discovery/tests/list_work.rs
@@ -73,6 +73,7 @@
             endpoints,
             first_error: None,
             unreadable_ids: Vec::new(),
+            has_unidentified_entry: false,
         };
         self.table.apply(response, &self.service, &self.clock)
     }
@@ -299,6 +300,7 @@
             endpoints,
             first_error: None,
             unreadable_ids,
+            has_unidentified_entry: false,
         }
     }
 }
