--- a/crates/agent/src/control/discovery/mod.rs
+++ b/crates/agent/src/control/discovery/mod.rs
@@ -4,12 +4,14 @@
 mod call;
 pub mod lease_log;
 pub mod list_reader;
+mod outage_log;
 
 use crate::agent::Agent;
 use crate::lifecycle::phase::ControlService;
 use call::{call, first_call, retry_alongside_silent_call, with_timeout};
 use call::{CallError, EstablishedWatch};
 use futures_lite::FutureExt;
+use outage_log::OutageLog;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::time::Duration;
@@ -64,11 +66,7 @@
     /// Whether the changes since the known version are not enough, so that the whole list is
     /// requested.
     needs_whole_list: bool,
-    /// Since when discovery has been unavailable; `None` while it responds.
-    unavailable_since: Option<Duration>,
-    /// The kinds of failure since `unavailable_since`. Each kind is logged once, as a broken
-    /// connection could otherwise hide a list that cannot be parsed.
-    logged_ends: Vec<WatchEnd>,
+    outage_log: OutageLog,
 }
 
 impl Watch<'_> {
@@ -80,8 +78,7 @@
             lease: ListLease::new(settings, agent.clock.now()),
             awaiting_contact: false,
             needs_whole_list: false,
-            unavailable_since: None,
-            logged_ends: Vec::new(),
+            outage_log: OutageLog::default(),
         };
         watch.publish_lease();
         watch
@@ -123,7 +120,7 @@
         if end == WatchEnd::TimedOut {
             self.agent.counters.list_timeouts.increment();
         }
-        self.log_end(error, now);
+        self.outage_log.on_failure(now, error);
         self.lease.on_watch_end(now, end);
         self.publish_lease();
         let next_call = self.timer.on_watch_end(end).map(|delay| now + delay);
@@ -138,18 +135,6 @@
         next_call
     }
 
-    fn log_end(&mut self, error: &CallError, now: Duration) {
-        let end = error.watch_end();
-        if self.unavailable_since.is_none() {
-            log::warn!("discovery: {error}; calling again");
-            self.unavailable_since = Some(now);
-            self.logged_ends = vec![end];
-        } else if !self.logged_ends.contains(&end) {
-            log::warn!("discovery: then {error}");
-            self.logged_ends.push(end);
-        }
-    }
-
     /// Watches until a call fails and returns its error.
     async fn run(&mut self) -> CallError {
         match self.watch().await {
@@ -252,11 +237,7 @@
             return Err(CallError::UnreadableEntry(error));
         }
         self.timer.on_response();
-        if let Some(since) = self.unavailable_since.take() {
-            let unavailable = agent.clock.now().saturating_sub(since);
-            log::info!(unavailable_ms = unavailable.as_millis() as u64;
-                "discovery: responding again after {unavailable:.1?}");
-        }
+        self.outage_log.on_response(agent.clock.now());
         if std::mem::take(&mut self.awaiting_contact) {
             agent.lifecycle.on_contact(ControlService::Discovery);
         }
--- a/crates/discovery/tests/watch_fleet.rs
+++ b/crates/discovery/tests/watch_fleet.rs
@@ -27,6 +27,9 @@
     Duration::from_millis(n)
 }
 
+/// How long discovery is unreachable from the start of the agents on.
+const OUTAGE: Duration = ms(8000);
+
 /// An event that affects all agents at once.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Event {
@@ -36,6 +39,8 @@
     AddressChange,
     /// All watches time out, right after a response to all agents.
     Silence,
+    /// All agents start while discovery's process is gone, which returns after [`OUTAGE`].
+    StartInOutage,
 }
 
 /// One agent, with what the tests record about it.
@@ -143,7 +148,8 @@
             deferred: 0,
             rejected: 0,
         };
-        if event != Event::Start {
+        let starts = matches!(event, Event::Start | Event::StartInOutage);
+        if !starts {
             agent.start_with_open_watch();
         }
         if event == Event::AddressChange {
@@ -151,7 +157,7 @@
             agent.must_be_answered_by = agent.address_changes_at + ADDRESS_CHANGE_GRACE;
         }
         let startup_delay = agent.timer.startup_delay();
-        if event == Event::Start {
+        if starts {
             agent.next_call = startup_delay.map(|delay| BEGIN + delay);
         }
         agent
@@ -175,7 +181,9 @@
                 Some(at) => now >= at,
                 None => is_due,
             };
-        if calls {
+        if calls && event == Event::StartInOutage && now < BEGIN + OUTAGE {
+            self.fail_call(now, WatchEnd::Disconnected);
+        } else if calls {
             self.call(now, discovery);
         }
         self.balancer.set_list_valid_until(self.lease.valid_until());
@@ -187,7 +195,7 @@
             return;
         };
         match event {
-            Event::Start => {}
+            Event::Start | Event::StartInOutage => {}
             Event::AddressChange if now >= self.address_changes_at => {
                 self.waits_until = None;
                 // The watch at the old address was still open until now.
@@ -206,9 +214,9 @@
     }
 
     fn call(&mut self, now: Duration, discovery: &mut Discovery) {
-        self.next_call = None;
-        self.lease.on_watch_begin(now);
         if discovery.accepts_call() {
+            self.next_call = None;
+            self.lease.on_watch_begin(now);
             self.answered_at = Some(now);
             self.timer.on_response();
             let wait = self.timer.next_wait();
@@ -216,8 +224,13 @@
             self.balancer.update_endpoints(now, &[], false);
             return;
         }
-        self.lease.on_watch_end(now, WatchEnd::Refused);
-        let delay = self.timer.on_watch_end(WatchEnd::Refused);
+        self.fail_call(now, WatchEnd::Refused);
+    }
+
+    fn fail_call(&mut self, now: Duration, end: WatchEnd) {
+        self.lease.on_watch_begin(now);
+        self.lease.on_watch_end(now, end);
+        let delay = self.timer.on_watch_end(end);
         self.next_call = delay.map(|delay| now + delay);
         if self.next_call.is_none() {
             self.balancer.on_list_failure(now);
@@ -604,6 +617,48 @@
     }
 }
 
+/// Agents that start while discovery is unreachable send nothing, and are answered within 0.5 s of its
+/// return where it has the capacity. Where it can answer one call from each agent in 1 or 3 s, the
+/// last is answered within twice that time and a second, and agents make at most four calls each.
+#[test]
+fn agents_that_start_in_an_outage_are_answered_soon_after_it() {
+    // The shortest delay between two calls is 0.2 s.
+    let max_calls_in_outage = |agents: u32| OUTAGE.as_secs_f64() / 0.2 * f64::from(agents);
+    for (agents, round_seconds) in [(30u32, 0.0), (300, 0.0), (300, 1.0), (300, 3.0), (770, 3.0)] {
+        let capacity = f64::from(agents) / f64::max(round_seconds, 0.01);
+        let rate = f64::from(agents) / f64::max(round_seconds, 1.0);
+        for seed in 1..5 {
+            let outcome = simulate(Event::StartInOutage, agents, capacity, rate, seed);
+            let context = format!("{agents} agents, a round in {round_seconds} s, seed {seed}");
+            let early = |a: &&Agent| a.last_attempt_before_answer.is_some();
+            assert_eq!(outcome.agents.iter().filter(early).count(), 0, "{context}");
+            let answered = outcome.agents.iter().map(|a| a.answered_at.unwrap());
+            let last = answered.max().unwrap() - BEGIN - OUTAGE;
+            let bound = if round_seconds > 0.0 {
+                1.0 + 2.0 * round_seconds
+            } else {
+                0.5
+            };
+            assert!(
+                last.as_secs_f64() <= bound,
+                "{context}: the last is answered after {last:?}"
+            );
+            let (before, after) = outcome.calls_by_second.split_at(OUTAGE.as_secs() as usize);
+            let before: usize = before.iter().sum();
+            assert!(
+                before as f64 <= max_calls_in_outage(agents),
+                "{context}: {before} calls in the outage"
+            );
+            let after: usize = after.iter().sum();
+            assert!(
+                after as f64 <= f64::from(agents) * 4.0,
+                "{context}: {after} calls after it"
+            );
+            println!("{context}: last {last:?}, calls in the outage {before}, after it {after}, in the first second {}", outcome.calls_by_second[8]);
+        }
+    }
+}
+
 /// The delay of the next call after a start could not reach discovery must let it serve within 0.5 s
 /// of discovery's return. Refused calls use shared capacity, so those are spread by the balancer, and
 /// so are the calls of an agent that has a list.
