--- a/crates/agent/tests/outdated_lists.rs
+++ b/crates/agent/tests/outdated_lists.rs
@@ -291,6 +291,32 @@
     });
 }
 
+/// Starts an agent, waits until it has received the list, and serves a client by it until the watch
+/// on the list has continued once where lists are pushed.
+fn start_with_list(cluster: &TestCluster, mode: ListMode) -> (AgentProcess, TestClient) {
+    let agent = start(configuration(cluster, mode));
+    let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
+    assert!(wait_until(|| cluster.discovery.requests() > 0));
+    send_until(&mut client, Instant::now() + ms(1200));
+    (agent, client)
+}
+
+/// Lets discovery return, and checks that a running agent whose list had expired serves soon again.
+fn assert_resumes(agent: &AgentProcess, discovery: &Discovery, mode: ListMode) {
+    let returned = Instant::now();
+    discovery.set_behavior(DiscoveryBehavior::Normal);
+    let served = first_served(agent, returned + ms(5000)).unwrap() - returned;
+    // Where calls are paid for, agents call again by their share of them.
+    let max_return_time = match mode {
+        ListMode::Pushed => MAX_RETURN_TIME,
+        ListMode::Polled => ms(3000),
+    };
+    assert!(
+        served < max_return_time,
+        "served {served:?} after the return"
+    );
+}
+
 /// Starts another discovery service with the same list under the same version.
 fn discovery_like(other: &Discovery) -> Discovery {
     let discovery = Discovery::start(1).unwrap();
@@ -320,10 +346,7 @@
         let next = discovery_like(&cluster.discovery);
         announce_drain(&next);
         next.set_behavior(fault.behavior());
-        let agent = start(configuration(&cluster, mode));
-        let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
-        assert!(wait_until(|| cluster.discovery.requests() > 0));
-        send_until(&mut client, Instant::now() + ms(1200));
+        let (agent, mut client) = start_with_list(&cluster, mode);
         let moved = move_discovery(&agent, &next);
         // Where lists are polled, the last response came 1.2 s before the move and something.
         let (bound, serves_for) = match mode {
@@ -346,18 +369,7 @@
         let sent_to_any = cluster.received_queries().into_values().flatten();
         assert!(sent_to_any.map(|query| query.at).max().unwrap() < bound);
 
-        let returned = Instant::now();
-        next.set_behavior(DiscoveryBehavior::Normal);
-        let served = first_served(&agent, returned + ms(5000)).unwrap() - returned;
-        // Where calls are paid for, agents call again by their share of them.
-        let max_return_time = match mode {
-            ListMode::Pushed => MAX_RETURN_TIME,
-            ListMode::Polled => ms(3000),
-        };
-        assert!(
-            served < max_return_time,
-            "served {served:?} after the return"
-        );
+        assert_resumes(&agent, &next, mode);
         let sent_later = received_by(&cluster, "s-0").into_iter().max().unwrap();
         assert_eq!(last_sent, sent_later);
     });
@@ -369,10 +381,7 @@
 fn stops_sending_when_no_list_arrives_after_a_change_of_the_list_mode() {
     run_all(&LIST_MODES, |mode| {
         let cluster = cluster();
-        let agent = start(configuration(&cluster, mode));
-        let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
-        assert!(wait_until(|| cluster.discovery.requests() > 0));
-        send_until(&mut client, Instant::now() + ms(1200));
+        let (agent, mut client) = start_with_list(&cluster, mode);
         cluster
             .discovery
             .set_behavior(DiscoveryBehavior::Unresponsive);
@@ -400,10 +409,7 @@
     let cases = faults.map(|fault| LIST_MODES.map(|mode| (fault, mode)));
     run_all(cases.as_flattened(), |(fault, mode)| {
         let cluster = cluster();
-        let agent = start(configuration(&cluster, mode));
-        let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
-        assert!(wait_until(|| cluster.discovery.requests() > 0));
-        send_until(&mut client, Instant::now() + ms(1200));
+        let (agent, mut client) = start_with_list(&cluster, mode);
         let begun = Instant::now();
         cluster.discovery.set_behavior(fault.behavior());
         // Open watches are closed by then, so they do not bring the drain.
@@ -430,18 +436,7 @@
         };
         assert_reason_is_reported(&agent, reason);
 
-        let returned = Instant::now();
-        cluster.discovery.set_behavior(DiscoveryBehavior::Normal);
-        let served = first_served(&agent, returned + ms(5000)).unwrap() - returned;
-        // Where calls are paid for, agents call again by their share of them.
-        let max_return_time = match mode {
-            ListMode::Pushed => MAX_RETURN_TIME,
-            ListMode::Polled => ms(3000),
-        };
-        assert!(
-            served < max_return_time,
-            "served {served:?} after the return"
-        );
+        assert_resumes(&agent, &cluster.discovery, mode);
         let sent_later = received_by(&cluster, "s-0").into_iter().max().unwrap();
         assert_eq!(last_sent, sent_later);
     });
@@ -489,10 +484,7 @@
     let cases = [Fault::Silent, Fault::Closes].map(|fault| LIST_MODES.map(|mode| (fault, mode)));
     run_all(cases.as_flattened(), |(fault, mode)| {
         let cluster = cluster();
-        let agent = start(configuration(&cluster, mode));
-        let mut client = TestClient::connect(agent.address().unwrap()).unwrap();
-        assert!(wait_until(|| cluster.discovery.requests() > 0));
-        send_until(&mut client, Instant::now() + ms(1000));
+        let (_agent, mut client) = start_with_list(&cluster, mode);
         let begun = Instant::now();
         cluster.discovery.set_behavior(fault.behavior());
         let end = begun + MAX_ANNOUNCEMENT_DELAY * 2;
