--- a/crates/discovery/src/list_lease.rs
+++ b/crates/discovery/src/list_lease.rs
@@ -66,9 +66,8 @@
 /// # Address changes
 ///
 /// What discovery holds at a new address may differ from the list that the agent has, so the lease
-/// ends [`PUSHED_ADDRESS_CHANGE_GRACE`] or, where lists are polled, [`CHANGE_GRACE`] after the agent
-/// was told of the address, however calls fail until then. A change between pushed and polled lists
-/// counts as one of the address.
+/// ends 4 s or, where lists are polled, 6 s after the agent was told of the address, however calls
+/// fail until then. A change between pushed and polled lists counts as one of the address.
 ///
 /// # Outages
 ///
@@ -76,15 +75,15 @@
 /// that does not answer at all, announces nothing.
 ///
 /// - Where lists are pushed, the lease has no end while discovery is unreachable.
-/// - Where they are polled, a call that finds discovery unreachable extends the lease to
-///   [`CHANGE_GRACE`] after that call.
+/// - Where they are polled, a call that finds discovery unreachable extends the lease to 6 s after
+///   the beginning of that call.
 ///
 /// # Responses without a list
 ///
 /// A discovery that refuses a call, or whose response cannot be read, is reachable, so changes that
-/// it has count as announced within [`CHANGE_GRACE`]. From then on failing calls do not renew the
-/// lease, also those that do not reach discovery. Where lists are pushed, the lease ends
-/// [`CHANGE_GRACE`] after the list was last known to be complete.
+/// it has count as announced within 6 s. From then on failing calls do not renew the lease, also
+/// those that do not reach discovery. Where lists are pushed, the lease ends 6 s after the list was
+/// last known to be complete.
 ///
 /// # Refusals where lists are polled
 ///
