Keep the list through a reload that names the same discovery

Seen by callers: a reload that changed only must-ask-in-ms while discovery was down made an agent stop serving 4 s later (pushed) or 6 s later (polled), although discovery had announced nothing since its list.

Cause: the change that ends the lease after SIGHUP to a new address took each restart of the watch for one; the watch restarts for the polling settings, too.

Where lists are polled and the watch restarts at the same address, the lease ends 6 s later unless calls renew it, as before.

Measured: outdated_lists.rs `a_changed_poll_interval_ends_no_list_in_an_outage` failed before in 2 of 2 cases (10 and 5 requests rejected in 8 s), passes now.

--- a/crates/agent/src/control/discovery/mod.rs
+++ b/crates/agent/src/control/discovery/mod.rs
@@ -14,6 +14,7 @@
 use outage_log::OutageLog;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tulipwall_discovery::list_lease::ListLease;
 use tulipwall_discovery::list_response::{self, ListResponse};
@@ -34,7 +35,8 @@
         };
         due.or(address.changed_since(seen_changes)).await;
         if address.changes() != seen_changes {
-            // A change of the address ends the old watch, but does not count as a failure.
+            // A change of the address, or of the polling settings, ends the old watch, but does not
+            // count as a failure.
             seen_changes = address.changes();
             watch.reload_settings(address.change_requested_at());
             next_call = watch.on_address_change(agent.clock.now());
@@ -59,6 +61,8 @@
 struct Watch<'a> {
     agent: &'a Agent,
     timer: WatchTimer,
+    /// The address of discovery at which the watch began.
+    address: SocketAddr,
     /// How long the known list may be used.
     lease: ListLease,
     /// Whether discovery has a new address and was not reached there yet.
@@ -75,6 +79,7 @@
         let watch = Watch {
             agent,
             timer: WatchTimer::new(settings),
+            address: agent.control.discovery.get(),
             lease: ListLease::new(settings, agent.clock.now()),
             awaiting_contact: false,
             needs_whole_list: false,
@@ -105,8 +110,13 @@
     /// Returns when the new address is first called; `None` if it is called at once.
     fn on_address_change(&mut self, now: Duration) -> Option<Duration> {
         self.awaiting_contact = true;
-        let told_at = self.agent.control.discovery.change_requested_at();
-        self.lease.on_address_change(told_at);
+        let control = &self.agent.control.discovery;
+        let previous = std::mem::replace(&mut self.address, control.get());
+        if previous == self.address {
+            self.lease.on_watch_restart(now);
+        } else {
+            self.lease.on_address_change(control.change_requested_at());
+        }
         self.publish_lease();
         let delay = self.timer.on_address_change();
         (!delay.is_zero()).then_some(now + delay)
--- a/crates/agent/tests/outdated_lists.rs
+++ b/crates/agent/tests/outdated_lists.rs
@@ -472,6 +472,26 @@
     });
 }
 
+/// Guards against a reload that ends a list in an outage although it names the same discovery: the
+/// list is still the last one that discovery announced.
+#[test]
+fn a_changed_poll_interval_ends_no_list_in_an_outage() {
+    run_all(&LIST_MODES, |mode| {
+        let cluster = cluster();
+        let (agent, mut client) = start_with_list(&cluster, mode);
+        cluster
+            .discovery
+            .set_behavior(DiscoveryBehavior::ClosesConnections);
+        let mut settings = agent.configuration.clone();
+        settings["settings"]["rules"]["must-ask-in-ms"] = 9_000.0.into();
+        let changed = Instant::now();
+        agent.reload(&settings.to_string()).unwrap();
+        let replies = send_until(&mut client, changed + MAX_ANNOUNCEMENT_DELAY + ms(2000));
+        assert!(replies.served > 400 && replies.rejected == 0, "{replies:?}");
+        assert!(agent.log().contains("a new configuration"));
+    });
+}
+
 /// Where lists are polled, a call that gets no answer is given up after 3 s, the next one follows up
 /// to 2.6 s later, and each extends the lease to 6 s after its beginning. So the lease of an agent
 /// whose calls get no answer may lapse for this long between two of them.
--- a/crates/discovery/src/list_lease.rs
+++ b/crates/discovery/src/list_lease.rs
@@ -191,6 +191,14 @@
         self.watch_was_answered = false;
     }
 
+    /// Records that the agent ended its watch at the same address, to begin another one.
+    pub fn on_watch_restart(&mut self, now: Duration) {
+        if self.is_polled {
+            self.end_by(now + CHANGE_GRACE, LeaseEndReason::NoResponse);
+        }
+        self.watch_was_answered = false;
+    }
+
     /// Updates the lease after the watch, or the call that was meant to begin it, failed.
     pub fn on_watch_end(&mut self, now: Duration, end: WatchEnd) {
         let was_answered = std::mem::take(&mut self.watch_was_answered);
